--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and slopes; each prints one JSON line."""
--- /dev/null
+++ b/poplarloft/coordination/__init__.py
@@ -0,0 +1,149 @@
+"""Decisions only: events in, typed actions out, no input or output."""
+
+from poplarloft.coordination.answers import AnswerCache
+from poplarloft.coordination.answers import RecordedAnswer
+from poplarloft.coordination.claims import ClaimAction
+from poplarloft.coordination.claims import ClaimBook
+from poplarloft.coordination.claims import ClaimDecided
+from poplarloft.coordination.claims import ClaimDecision
+from poplarloft.coordination.claims import ClaimSettings
+from poplarloft.coordination.claims import ReadLedger
+from poplarloft.coordination.claims import WriteLedger
+from poplarloft.coordination.configuration import accept
+from poplarloft.coordination.configuration import Change
+from poplarloft.coordination.configuration import ChangeResult
+from poplarloft.coordination.configuration import dispute
+from poplarloft.coordination.configuration import HeadFollower
+from poplarloft.coordination.configuration import HeadWriter
+from poplarloft.coordination.configuration import propose
+from poplarloft.coordination.configuration import ReadHead
+from poplarloft.coordination.configuration import settle
+from poplarloft.coordination.configuration import withdraw
+from poplarloft.coordination.configuration import WriteDone
+from poplarloft.coordination.configuration import WriteHead
+from poplarloft.coordination.delivery import is_fresh
+from poplarloft.coordination.delivery import Offer
+from poplarloft.coordination.delivery import SampleBuffer
+from poplarloft.coordination.delivery import StepCollector
+from poplarloft.coordination.histograms import HistogramKey
+from poplarloft.coordination.histograms import HistogramSet
+from poplarloft.coordination.histograms import HistogramSummary
+from poplarloft.coordination.labels import LabelFault
+from poplarloft.coordination.labels import Labeller
+from poplarloft.coordination.lots import CancelSample
+from poplarloft.coordination.lots import GenerateSample
+from poplarloft.coordination.lots import LotAction
+from poplarloft.coordination.lots import LotRunner
+from poplarloft.coordination.lots import LotWaste
+from poplarloft.coordination.lots import run_ahead_steps
+from poplarloft.coordination.lots import ScoreSample
+from poplarloft.coordination.pacing import TokenBucket
+from poplarloft.coordination.retries import AttemptPlan
+from poplarloft.coordination.retries import Failure
+from poplarloft.coordination.retries import FailureKind
+from poplarloft.coordination.retries import GiveUp
+from poplarloft.coordination.retries import RetryBudget
+from poplarloft.coordination.retries import TryAgain
+from poplarloft.coordination.retries import verdict_of
+from poplarloft.coordination.routing import BLOCK_CHARS
+from poplarloft.coordination.routing import Candidate
+from poplarloft.coordination.routing import LeastLoaded
+from poplarloft.coordination.routing import LoadView
+from poplarloft.coordination.routing import prefix_blocks
+from poplarloft.coordination.routing import Prices
+from poplarloft.coordination.routing import RandomChoice
+from poplarloft.coordination.routing import rendezvous_rank
+from poplarloft.coordination.routing import RoundRobin
+from poplarloft.coordination.routing import RouteRequest
+from poplarloft.coordination.routing import ROUTING_POLICIES
+from poplarloft.coordination.routing import RoutingPolicy
+from poplarloft.coordination.routing import ScoredTwoChoices
+from poplarloft.coordination.shutdown import ShutdownPhase
+from poplarloft.coordination.shutdown import ShutdownPlan
+from poplarloft.coordination.stragglers import NoRedispatch
+from poplarloft.coordination.stragglers import QuantileRedispatch
+from poplarloft.coordination.stragglers import RedispatchPolicy
+from poplarloft.coordination.stragglers import Running
+from poplarloft.coordination.upstreams import LeavingSign
+from poplarloft.coordination.upstreams import SignSource
+from poplarloft.coordination.upstreams import UpstreamRegistry
+from poplarloft.coordination.weights import EngineReport
+from poplarloft.coordination.weights import OrderKind
+from poplarloft.coordination.weights import SendOrder
+from poplarloft.coordination.weights import WeightRollout
+from poplarloft.coordination.weights import WeightSettings
+
+__all__ = [
+    "accept",
+    "AnswerCache",
+    "AttemptPlan",
+    "BLOCK_CHARS",
+    "CancelSample",
+    "Candidate",
+    "Change",
+    "ChangeResult",
+    "ClaimAction",
+    "ClaimBook",
+    "ClaimDecided",
+    "ClaimDecision",
+    "ClaimSettings",
+    "dispute",
+    "EngineReport",
+    "Failure",
+    "FailureKind",
+    "GenerateSample",
+    "GiveUp",
+    "HeadFollower",
+    "HeadWriter",
+    "HistogramKey",
+    "HistogramSet",
+    "HistogramSummary",
+    "is_fresh",
+    "LabelFault",
+    "Labeller",
+    "LeastLoaded",
+    "LeavingSign",
+    "LoadView",
+    "LotAction",
+    "LotRunner",
+    "LotWaste",
+    "NoRedispatch",
+    "Offer",
+    "OrderKind",
+    "prefix_blocks",
+    "Prices",
+    "propose",
+    "QuantileRedispatch",
+    "RandomChoice",
+    "ReadHead",
+    "ReadLedger",
+    "RecordedAnswer",
+    "RedispatchPolicy",
+    "rendezvous_rank",
+    "RetryBudget",
+    "RoundRobin",
+    "RouteRequest",
+    "ROUTING_POLICIES",
+    "RoutingPolicy",
+    "run_ahead_steps",
+    "Running",
+    "SampleBuffer",
+    "ScoredTwoChoices",
+    "ScoreSample",
+    "SendOrder",
+    "settle",
+    "ShutdownPhase",
+    "ShutdownPlan",
+    "SignSource",
+    "StepCollector",
+    "TokenBucket",
+    "TryAgain",
+    "UpstreamRegistry",
+    "verdict_of",
+    "WeightRollout",
+    "WeightSettings",
+    "withdraw",
+    "WriteDone",
+    "WriteHead",
+    "WriteLedger",
+]
--- /dev/null
+++ b/poplarloft/coordination/lots.py
@@ -0,0 +1,299 @@
+"""One lot's progress: which slots to generate, score, drop and deliver.
+
+All state here is soft. A new runner of the lot starts from the trainer's
+next pull, which names the step and what the trainer holds.
+"""
+
+import dataclasses
+import enum
+
+from poplarloft.coordination import delivery
+from poplarloft.coordination import stragglers
+from poplarloft import state
+
+__all__ = [
+    "LotAction",
+    "CancelSample",
+    "GenerateSample",
+    "LotRunner",
+    "LotWaste",
+    "ScoreSample",
+    "run_ahead_steps",
+]
+
+
+def run_ahead_steps(lot: state.LotBody) -> int:
+    """Return how many steps ahead of the trainer a lot may generate.
+
+    Each step ahead ages a sample by one version until its delivery, so
+    the bound limits the depth; the owner's weights choose within it.
+    """
+    total = lot.idle_weight + lot.staleness_weight
+    preference = lot.idle_weight / total if total > 0 else 0.0
+    return round(lot.staleness_bound * preference)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerateSample:
+    """Action: stream one sample from an engine of the lot's service.
+
+    `min_version` is the lowest weight version that is still of use.
+    """
+
+    slot: state.Slot
+    attempt: int
+    prompt: str
+    max_tokens: int
+    min_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelSample:
+    """Action: cancel a generation whose slot has been filled."""
+
+    slot: state.Slot
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScoreSample:
+    """Action: have the lot's scorer score a generated sample."""
+
+    slot: state.Slot
+    attempt: int
+    tokens: tuple[int, ...]
+
+
+LotAction = GenerateSample | CancelSample | ScoreSample
+
+
+@dataclasses.dataclass(slots=True)
+class LotWaste:
+    """Tokens that were generated and not delivered, by cause."""
+
+    unusable_tokens: int = 0
+    stale_tokens: int = 0
+    duplicate_tokens: int = 0
+
+    @property
+    def total_tokens(self) -> int:
+        """Return the sum over all causes."""
+        return self.unusable_tokens + self.stale_tokens + self.duplicate_tokens
+
+
+class _Stage(enum.Enum):
+    GENERATING = "generating"
+    SCORING = "scoring"
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    slot: state.Slot
+    started_at_ms: int
+    stage: _Stage = _Stage.GENERATING
+    tokens: tuple[int, ...] = ()
+    spans: tuple[state.Span, ...] = ()
+    produced_by: str = ""
+
+
+class LotRunner:
+    """Decides what to generate for one lot.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    name : str
+        The lot's name.
+    lot : state.LotBody
+        What the operators ordered.
+    redispatch : stragglers.RedispatchPolicy
+        Names late generations.
+    run_ahead : int or None
+        Steps generated ahead; None takes `run_ahead_steps`.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        name: str,
+        lot: state.LotBody,
+        redispatch: stragglers.RedispatchPolicy,
+        run_ahead: int | None = None,
+    ) -> None:
+        self.clock = clock
+        self.name = name
+        self.lot = lot
+        self.redispatch = redispatch
+        self.run_ahead = (
+            run_ahead_steps(lot) if run_ahead is None else (run_ahead)
+        )
+        self.buffer = delivery.SampleBuffer(lot.staleness_bound)
+        self.work: dict[int, _Work] = {}
+        self.holdings: state.Holdings | None = None
+        self.waste = LotWaste()
+        self.delivered_tokens = 0
+        self.next_attempt = 0
+
+    def on_pull(self, holdings: state.Holdings) -> delivery.Offer:
+        """Take a trainer's pull; return what to answer.
+
+        An older pull that arrives late is answered from its own words
+        but does not move the lot back.
+        """
+        newest = self.holdings
+        if newest is None or _pull_order(holdings) >= _pull_order(newest):
+            self.holdings = holdings
+        offer = self.buffer.offer(holdings)
+        self.waste.stale_tokens += sum(len(s.tokens) for s in offer.stale)
+        return offer
+
+    def plan(self, free_streams: int) -> list[LotAction]:
+        """Return generations to start on `free_streams` idle streams."""
+        actions: list[LotAction] = list(self._cancel_obsolete())
+        if self.holdings is None:
+            return actions
+        wanted = self._missing_slots()
+        for slot in wanted[:free_streams]:
+            actions.append(self._start(slot))
+        spare = free_streams - min(len(wanted), free_streams)
+        actions += self._start_copies(spare)
+        return actions
+
+    def on_generated(
+        self,
+        attempt: int,
+        tokens: tuple[int, ...],
+        spans: tuple[state.Span, ...],
+        produced_by: str,
+    ) -> list[LotAction]:
+        """Take a whole labelled generation; the first of a slot wins."""
+        work = self.work.get(attempt)
+        if work is None:
+            self.waste.duplicate_tokens += len(tokens)
+            return []
+        self.redispatch.on_finished(self.clock.now_ms() - work.started_at_ms)
+        work.stage = _Stage.SCORING
+        work.tokens, work.spans = tokens, spans
+        work.produced_by = produced_by
+        actions = self._cancel_copies(attempt, work.slot)
+        return [*actions, ScoreSample(work.slot, attempt, tokens)]
+
+    def on_generation_failed(self, attempt: int, wasted_tokens: int) -> None:
+        """Take a failed or unusable generation; the slot is open again."""
+        self.waste.unusable_tokens += wasted_tokens
+        self.work.pop(attempt, None)
+
+    def on_scored(self, attempt: int, score: float) -> bool:
+        """Take a score; tell whether the sample waits for delivery."""
+        work = self.work.pop(attempt, None)
+        if work is None:
+            return False
+        sample = state.Sample(
+            work.slot, work.tokens, work.spans, score, work.produced_by
+        )
+        return self.buffer.put(sample)
+
+    def rescore(self, attempt: int) -> list[LotAction]:
+        """Return the order to score again after the scorer failed."""
+        work = self.work.get(attempt)
+        if work is None:
+            return []
+        return [ScoreSample(work.slot, attempt, work.tokens)]
+
+    def _missing_slots(self) -> list[state.Slot]:
+        """Return slots without a sample or work, in order of need."""
+        assert self.holdings is not None
+        taken = {work.slot for work in self.work.values()}
+        taken.update(self.buffer.samples)
+        first = self.holdings.step
+        last = min(first + self.run_ahead, self.lot.steps - 1)
+        missing = []
+        for step in range(first, last + 1):
+            for slot in self._slots(step):
+                if slot not in taken and not self._is_held(slot):
+                    missing.append(slot)
+        return missing
+
+    def _slots(self, step: int) -> list[state.Slot]:
+        return [
+            state.Slot(self.name, step, group, index)
+            for group in range(self.lot.groups_per_step)
+            for index in range(self.lot.samples_per_group)
+        ]
+
+    def _is_held(self, slot: state.Slot) -> bool:
+        assert self.holdings is not None
+        return (
+            slot.step == self.holdings.step
+            and (slot.group, slot.index) in self.holdings.held
+        )
+
+    def _start(self, slot: state.Slot) -> GenerateSample:
+        assert self.holdings is not None
+        self.next_attempt += 1
+        self.work[self.next_attempt] = _Work(slot, self.clock.now_ms())
+        return GenerateSample(
+            slot,
+            self.next_attempt,
+            self._prompt(slot),
+            self.lot.max_tokens,
+            self._min_version(slot),
+        )
+
+    def _min_version(self, slot: state.Slot) -> int:
+        """Return the oldest version that can be fresh on delivery."""
+        assert self.holdings is not None
+        steps_ahead = slot.step - self.holdings.step
+        expected = self.holdings.weight_version + steps_ahead
+        return expected - self.lot.staleness_bound
+
+    def _prompt(self, slot: state.Slot) -> str:
+        position = slot.step * self.lot.groups_per_step + slot.group
+        return self.lot.prompts[position % len(self.lot.prompts)]
+
+    def _start_copies(self, spare: int) -> list[LotAction]:
+        """Start late generations of the current step a second time."""
+        assert self.holdings is not None
+        now_ms = self.clock.now_ms()
+        copies: dict[state.Slot, int] = {}
+        for work in self.work.values():
+            copies[work.slot] = copies.get(work.slot, 0) + 1
+        running = [
+            stragglers.Running(
+                attempt, now_ms - work.started_at_ms, copies[work.slot]
+            )
+            for attempt, work in self.work.items()
+            if work.stage is _Stage.GENERATING
+            and work.slot.step == self.holdings.step
+        ]
+        late = self.redispatch.late(running)
+        return [self._start(self.work[a].slot) for a in late[:spare]]
+
+    def _cancel_copies(self, winner: int, slot: state.Slot) -> list[LotAction]:
+        others = [
+            attempt
+            for attempt, work in self.work.items()
+            if work.slot == slot and attempt != winner
+        ]
+        return [self._cancel(attempt) for attempt in others]
+
+    def _cancel_obsolete(self) -> list[LotAction]:
+        """Cancel work on steps that the trainer has left behind."""
+        if self.holdings is None:
+            return []
+        obsolete = [
+            attempt
+            for attempt, work in self.work.items()
+            if work.slot.step < self.holdings.step or self._is_held(work.slot)
+        ]
+        return [self._cancel(attempt) for attempt in obsolete]
+
+    def _cancel(self, attempt: int) -> CancelSample:
+        work = self.work.pop(attempt)
+        self.waste.duplicate_tokens += len(work.tokens)
+        return CancelSample(work.slot, attempt)
+
+
+def _pull_order(holdings: state.Holdings) -> tuple[int, int, int]:
+    return (holdings.step, holdings.weight_version, len(holdings.held))
--- /dev/null
+++ b/poplarloft/coordination/retries.py
@@ -0,0 +1,179 @@
+"""Verdicts on failed attempts, and whether to try again."""
+
+import dataclasses
+import enum
+
+from poplarloft.coordination import pacing
+from poplarloft import state
+
+__all__ = [
+    "AttemptPlan",
+    "Failure",
+    "FailureKind",
+    "GiveUp",
+    "RetryBudget",
+    "TryAgain",
+    "verdict_of",
+]
+
+
+class FailureKind(enum.StrEnum):
+    """How an attempt at an upstream failed."""
+
+    CONNECT_REFUSED = "connect-refused"
+    CONNECT_TIMEOUT = "connect-timeout"
+    RESET_BEFORE_SEND = "reset-before-send"
+    RESET_AFTER_SEND = "reset-after-send"
+    HALF_ANSWER = "half-answer"
+    TIMEOUT = "timeout"
+    MALFORMED_ANSWER = "malformed-answer"
+    REFUSED_WITH_PROOF = "refused-with-proof"
+    REFUSED_WITHOUT_PROOF = "refused-without-proof"
+
+
+_NOT_RUN_KINDS = frozenset(
+    {
+        FailureKind.CONNECT_REFUSED,
+        FailureKind.CONNECT_TIMEOUT,
+        FailureKind.RESET_BEFORE_SEND,
+        FailureKind.REFUSED_WITH_PROOF,
+    }
+)
+
+
+def verdict_of(kind: FailureKind) -> state.Verdict:
+    """Return what a failure tells about execution.
+
+    Only a failure before the first byte of the request left this process,
+    or the upstream's own proof, shows that nothing ran.
+    """
+    if kind in _NOT_RUN_KINDS:
+        return state.Verdict.NOT_RUN
+    return state.Verdict.MAY_HAVE_RUN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """One failed attempt."""
+
+    upstream: str
+    kind: FailureKind
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TryAgain:
+    """Action: choose another upstream, leaving out those tried."""
+
+    excluded: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Action: answer the caller with `refusal`."""
+
+    refusal: state.Refusal
+
+
+class RetryBudget:
+    """Allows retries as a fraction of recent successes.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    ratio : float
+        Retries earned per success.
+    reserve : float
+        Retries allowed before any success, and the most that is saved.
+    """
+
+    def __init__(
+        self, clock: state.Clock, ratio: float = 0.1, reserve: float = 10.0
+    ) -> None:
+        self.ratio = ratio
+        self.bucket = pacing.TokenBucket(clock, 0.0, reserve)
+
+    def on_success(self) -> None:
+        """Earn a fraction of a retry."""
+        self.bucket.put(self.ratio)
+
+    def take(self) -> bool:
+        """Take one retry, if there is one."""
+        return self.bucket.take()
+
+
+class AttemptPlan:
+    """The attempts of one request.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    budget : RetryBudget
+        Shared by the requests of an owner and route.
+    repeatable : bool
+        Whether the request may run more than once.
+    deadline_ms : int
+        Time on `clock` after which no attempt starts.
+    max_attempts : int
+        Attempts at most, the first included.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        budget: RetryBudget,
+        repeatable: bool,
+        deadline_ms: int,
+        max_attempts: int,
+    ) -> None:
+        self.clock = clock
+        self.budget = budget
+        self.repeatable = repeatable
+        self.deadline_ms = deadline_ms
+        self.max_attempts = max_attempts
+        self.failures: list[Failure] = []
+
+    @property
+    def verdict(self) -> state.Verdict:
+        """Return what all attempts together tell about execution."""
+        verdicts = {verdict_of(f.kind) for f in self.failures}
+        if verdicts <= {state.Verdict.NOT_RUN}:
+            return state.Verdict.NOT_RUN
+        return state.Verdict.MAY_HAVE_RUN
+
+    def on_failure(self, failure: Failure) -> TryAgain | GiveUp:
+        """Decide what follows a failed attempt."""
+        self.failures.append(failure)
+        if not self._may_repeat():
+            return self._give_up(state.Reason.UPSTREAM_FAILED)
+        if len(self.failures) >= self.max_attempts:
+            return self._give_up(state.Reason.UPSTREAM_FAILED)
+        if self.clock.now_ms() >= self.deadline_ms:
+            return self._give_up(state.Reason.DEADLINE)
+        if not self.budget.take():
+            return self._give_up(state.Reason.RETRY_BUDGET)
+        return TryAgain(frozenset(f.upstream for f in self.failures))
+
+    def on_no_upstream(self, service: str) -> GiveUp:
+        """End the request because no upstream is left to try."""
+        detail = f"service {service!r} has no eligible upstream left"
+        return GiveUp(
+            state.Refusal(
+                state.Reason.NO_UPSTREAM, self.verdict, detail, 1_000
+            )
+        )
+
+    def _may_repeat(self) -> bool:
+        return self.repeatable or self.verdict is state.Verdict.NOT_RUN
+
+    def _give_up(self, reason: state.Reason) -> GiveUp:
+        last = self.failures[-1]
+        detail = (
+            f"attempt {len(self.failures)} at upstream {last.upstream!r} "
+            f"failed: {last.kind}"
+        )
+        if last.detail:
+            detail = f"{detail} ({last.detail})"
+        return GiveUp(state.Refusal(reason, self.verdict, detail, 1_000))
--- /dev/null
+++ b/poplarloft/coordination/routing.py
@@ -0,0 +1,343 @@
+"""Choice of an upstream for one request.
+
+The scored policy adds up, in milliseconds of engine time, the predicted
+wait, the prefill that isn't cached and the price of the distance. Load
+reports lag, so an instance adds its own dispatches since each report.
+"""
+
+from collections import abc
+import dataclasses
+import random
+import typing
+
+import xxhash
+
+from poplarloft import state
+
+__all__ = [
+    "BLOCK_CHARS",
+    "Candidate",
+    "LeastLoaded",
+    "LoadView",
+    "Prices",
+    "RandomChoice",
+    "RoundRobin",
+    "RouteRequest",
+    "ROUTING_POLICIES",
+    "RoutingPolicy",
+    "ScoredTwoChoices",
+    "prefix_blocks",
+    "rendezvous_rank",
+]
+
+BLOCK_CHARS = 64
+
+
+def prefix_blocks(prompt: str, block_chars: int = BLOCK_CHARS) -> list[int]:
+    """Return a chained hash per whole block of the prompt's start.
+
+    Two prompts share their first n values exactly if their first
+    n x `block_chars` characters agree.
+    """
+    hashes: list[int] = []
+    previous = 0
+    whole = len(prompt) - len(prompt) % block_chars
+    for start in range(0, whole, block_chars):
+        block = prompt[start : start + block_chars]
+        previous = xxhash.xxh64_intdigest(block.encode(), seed=previous)
+        hashes.append(previous)
+    return hashes
+
+
+def rendezvous_rank(key: str | bytes, names: abc.Iterable[str]) -> list[str]:
+    """Return `names` by falling rendezvous weight for `key`.
+
+    Notes
+    -----
+    Highest random weight hashing (Thaler and Ravishankar, 1998): removing
+    a name moves only the keys that it held.
+    """
+    key_bytes = key.encode() if isinstance(key, str) else key
+    seed = xxhash.xxh64_intdigest(key_bytes)
+    return sorted(
+        names,
+        key=lambda name: (
+            xxhash.xxh64_intdigest(name.encode(), seed=seed),
+            name,
+        ),
+        reverse=True,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What routing needs to know of a request."""
+
+    prefix: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    expected_tokens: int = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An eligible upstream and what is believed of it.
+
+    Parameters
+    ----------
+    name : str
+        The upstream.
+    queued_tokens : float
+        Tokens that it still has to produce, own dispatches included.
+    price_ms : float
+        Price of the distance, in milliseconds of engine time.
+    cached : frozenset of int
+        Prefix blocks that it surely or likely holds.
+    """
+
+    name: str
+    queued_tokens: float = 0.0
+    price_ms: float = 0.0
+    cached: frozenset[int] = frozenset()
+
+
+class RoutingPolicy(typing.Protocol):
+    """Chooses one candidate; none is ruled out by the policy itself."""
+
+    def choose(
+        self, request: RouteRequest, candidates: abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return one of `candidates`, which is not empty."""
+
+
+class RandomChoice:
+    """Baseline: any candidate, evenly."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def choose(
+        self, request: RouteRequest, candidates: abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return a random candidate."""
+        return self.rng.choice(candidates)
+
+
+class RoundRobin:
+    """Baseline: one candidate after the other."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.turn = rng.randrange(1 << 16)
+
+    def choose(
+        self, request: RouteRequest, candidates: abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return the next candidate in order of name."""
+        self.turn += 1
+        ordered = sorted(candidates, key=lambda c: c.name)
+        return ordered[self.turn % len(ordered)]
+
+
+class LeastLoaded:
+    """Baseline: the smallest believed queue, whatever is cached."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    def choose(
+        self, request: RouteRequest, candidates: abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return a candidate with the fewest queued tokens."""
+        least = min(c.queued_tokens for c in candidates)
+        ties = [c for c in candidates if c.queued_tokens == least]
+        return self.rng.choice(ties)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prices:
+    """What a token costs, in milliseconds of engine time.
+
+    Parameters
+    ----------
+    decode_ms, prefill_ms : float
+        Time per token produced and per prompt token read.
+    load_factor : float
+        The prefix's owner is passed over once its queue is this many
+        times the mean (bounded load).
+    block_tokens : int
+        Tokens per prefix block.
+    """
+
+    decode_ms: float = 0.5
+    prefill_ms: float = 0.2
+    load_factor: float = 1.5
+    block_tokens: int = 16
+
+
+class ScoredTwoChoices:
+    """Lowest score of the prefix's owner, the warmest, and two others.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws the two choices.
+    prices : Prices
+        Weights of the score.
+    """
+
+    def __init__(
+        self, rng: random.Random, prices: Prices | None = None
+    ) -> None:
+        self.rng = rng
+        self.prices = prices or Prices()
+
+    def choose(
+        self, request: RouteRequest, candidates: abc.Sequence[Candidate]
+    ) -> Candidate:
+        """Return the best of a few candidates by score."""
+        drawn = self.rng.sample(candidates, min(2, len(candidates)))
+        if request.prefix:
+            drawn += self._warm(request, candidates)
+        return min(drawn, key=lambda c: self.score(request, c))
+
+    def score(self, request: RouteRequest, candidate: Candidate) -> float:
+        """Return predicted milliseconds to the first token, plus price."""
+        wait_ms = candidate.queued_tokens * self.prices.decode_ms
+        cached = self._cached_blocks(request, candidate)
+        cached_tokens = cached * self.prices.block_tokens
+        missing = max(0, request.prompt_tokens - cached_tokens)
+        prefill_ms = missing * self.prices.prefill_ms
+        return wait_ms + prefill_ms + candidate.price_ms
+
+    def _cached_blocks(
+        self, request: RouteRequest, candidate: Candidate
+    ) -> int:
+        count = 0
+        for block in request.prefix:
+            if block not in candidate.cached:
+                break
+            count += 1
+        return count
+
+    def _warm(
+        self, request: RouteRequest, candidates: abc.Sequence[Candidate]
+    ) -> list[Candidate]:
+        """Return the prefix's rendezvous owner and the warmest holder.
+
+        All instances agree on the owner without exchanging anything, so
+        a prefix gathers on one upstream before any cache event arrives.
+        """
+        by_name = {c.name: c for c in candidates}
+        mean = sum(c.queued_tokens for c in candidates) / len(candidates)
+        limit = self.prices.load_factor * mean + request.expected_tokens
+        first_block = str(request.prefix[0])
+        warm = []
+        for name in rendezvous_rank(first_block, by_name):
+            if by_name[name].queued_tokens <= limit:
+                warm.append(by_name[name])
+                break
+        holder = max(candidates, key=lambda c: self._cached_blocks(request, c))
+        warm.append(holder)
+        return warm
+
+
+ROUTING_POLICIES: dict[str, abc.Callable[[random.Random], RoutingPolicy]] = {
+    "scored": ScoredTwoChoices,
+    "least-loaded": LeastLoaded,
+    "round-robin": RoundRobin,
+    "random": RandomChoice,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class _Dispatch:
+    sent_at_ms: int
+    tokens: float
+
+
+class LoadView:
+    """What one instance believes of its upstreams' load and caches.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    stale_after_ms : int
+        Age from which a report is ignored.
+    """
+
+    def __init__(
+        self, clock: state.Clock, stale_after_ms: int = 5_000
+    ) -> None:
+        self.clock = clock
+        self.stale_after_ms = stale_after_ms
+        self.reports: dict[str, state.LoadReport] = {}
+        self.own: dict[str, dict[int, _Dispatch]] = {}
+        self.warmed: dict[str, dict[int, int]] = {}
+        self.next_ticket = 0
+
+    def on_report(self, report: state.LoadReport) -> None:
+        """Take a load report unless a newer one is known."""
+        known = self.reports.get(report.upstream)
+        if known and known.reported_at_ms > report.reported_at_ms:
+            return
+        self.reports[report.upstream] = report
+
+    def on_cache_gap(self, upstream: str) -> None:
+        """Doubt all that is known of an engine's cache after a gap."""
+        self.warmed.pop(upstream, None)
+        known = self.reports.get(upstream)
+        if known is not None:
+            self.reports[upstream] = dataclasses.replace(
+                known, cached_prefixes=frozenset()
+            )
+
+    def on_dispatch(self, upstream: str, request: RouteRequest) -> int:
+        """Note an own dispatch; return a ticket for `on_done`."""
+        self.next_ticket += 1
+        now_ms = self.clock.now_ms()
+        sent = self.own.setdefault(upstream, {})
+        sent[self.next_ticket] = _Dispatch(now_ms, request.expected_tokens)
+        warmed = self.warmed.setdefault(upstream, {})
+        for block in request.prefix:
+            warmed[block] = now_ms
+        return self.next_ticket
+
+    def on_done(self, upstream: str, ticket: int) -> None:
+        """Note that an own dispatch has ended."""
+        self.own.get(upstream, {}).pop(ticket, None)
+
+    def candidate(self, upstream: str, price_ms: float) -> Candidate:
+        """Return what is believed of `upstream` now."""
+        now_ms = self.clock.now_ms()
+        own = self.own.get(upstream, {})
+        report = self.reports.get(upstream)
+        if report and now_ms - report.reported_at_ms > self.stale_after_ms:
+            report = None
+        if report is None:
+            queued = sum(d.tokens for d in own.values())
+            return Candidate(
+                upstream, queued, price_ms, self._warm(upstream, now_ms)
+            )
+        since = sum(
+            d.tokens
+            for d in own.values()
+            if d.sent_at_ms >= report.reported_at_ms
+        )
+        cached = report.cached_prefixes | self._warm(upstream, now_ms)
+        return Candidate(
+            upstream, report.queued_tokens + since, price_ms, cached
+        )
+
+    def forget(self, upstream: str) -> None:
+        """Drop all that is known of an upstream that is gone."""
+        self.reports.pop(upstream, None)
+        self.own.pop(upstream, None)
+        self.warmed.pop(upstream, None)
+
+    def _warm(self, upstream: str, now_ms: int) -> frozenset[int]:
+        """Return blocks sent lately; older ones may be evicted."""
+        warmed = self.warmed.get(upstream, {})
+        oldest_ms = now_ms - self.stale_after_ms
+        for block in [b for b, at_ms in warmed.items() if at_ms < oldest_ms]:
+            del warmed[block]
+        return frozenset(warmed)
--- /dev/null
+++ b/poplarloft/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: composition of the layers on one loop."""
--- /dev/null
+++ b/poplarloft/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon with ``python -m poplarloft.daemon``."""
+
+from poplarloft.daemon import main
+
+main.main()
--- /dev/null
+++ b/poplarloft/daemon/configuration.py
@@ -0,0 +1,169 @@
+"""Follows the configuration's head and carries changes into it."""
+
+import asyncio
+from collections import abc
+
+import eliot
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.daemon import tasks
+from poplarloft.protocol import documents
+from poplarloft.protocol import errors
+from poplarloft import state
+
+__all__ = ["ConfigurationService"]
+
+RETRY_MS = 500
+MAX_TRIES = 20
+MS_PER_S = 1_000
+
+Listener = abc.Callable[[state.Configuration], None]
+
+
+class ConfigurationService:
+    """The configuration as this instance sees it.
+
+    Parameters
+    ----------
+    store : state.KeyValueStore
+        Where the head document is kept.
+    writer : str
+        This instance's incarnation, for marks.
+    wall_clock : state.Clock
+        Unix time, compared with the end of proposals' windows.
+    task_set : tasks.TaskSet
+        Runs the watch.
+    """
+
+    def __init__(
+        self,
+        store: state.KeyValueStore,
+        writer: str,
+        wall_clock: state.Clock,
+        task_set: tasks.TaskSet,
+    ) -> None:
+        self.store = store
+        self.writer = writer
+        self.wall_clock = wall_clock
+        self.task_set = task_set
+        self.follower = coordination.HeadFollower()
+        self.latest = state.Configuration()
+        self.listeners: list[Listener] = []
+        self.write_lock = asyncio.Lock()
+        self.sequence = 0
+        self.timer = tasks.WakeTimer(self._on_window_closed)
+
+    @property
+    def current(self) -> state.Configuration:
+        """Return what is in force here; empty before the first one."""
+        return self.follower.current or state.Configuration()
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether a configuration has arrived."""
+        return self.follower.current is not None
+
+    def offer(self, head: state.Configuration) -> bool:
+        """Take a head from the platform, a peer or a snapshot."""
+        if head.revision >= self.latest.revision:
+            self.latest = head
+            self._set_timer()
+        if not self.follower.offer(head):
+            return False
+        eliot.log_message("configuration-in-force", revision=head.revision)
+        for listener in self.listeners:
+            listener(head)
+        return True
+
+    async def watch(self) -> None:
+        """Follow the head document until cancelled."""
+        version = state.ABSENT_VERSION
+        while True:
+            async for versioned in self.store.watch(
+                documents.HEAD_KEY, version
+            ):
+                version = versioned.version
+                self._offer_bytes(versioned.value)
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+
+    async def change(
+        self, change: coordination.Change
+    ) -> coordination.ChangeResult:
+        """Carry a change into the head document.
+
+        Changes of one instance go one after the other, since a mark
+        shows only the last sequence number that was applied.
+        """
+        async with self.write_lock:
+            self.sequence += 1
+            mark = state.Mark(self.writer, self.sequence)
+            writer = coordination.HeadWriter(change, mark)
+            outcome = await self._drive(writer)
+        match outcome:
+            case result.Success(head):
+                self.offer(head)
+        return outcome
+
+    async def _drive(
+        self, writer: coordination.HeadWriter
+    ) -> coordination.ChangeResult:
+        action: (
+            coordination.ReadHead
+            | coordination.WriteHead
+            | coordination.WriteDone
+        ) = writer.start()
+        for _ in range(MAX_TRIES):
+            match action:
+                case coordination.ReadHead():
+                    read = await self.store.get(documents.HEAD_KEY)
+                    match read:
+                        case result.Success(versioned):
+                            head = documents.decode_head(versioned.value)
+                            action = writer.on_read(head, versioned.version)
+                        case _:
+                            await asyncio.sleep(RETRY_MS / MS_PER_S)
+                case coordination.WriteHead(head, version):
+                    write = await self.store.compare_and_swap(
+                        documents.HEAD_KEY,
+                        documents.encode_head(head),
+                        version,
+                    )
+                    action = writer.on_write(write.outcome, head)
+                case coordination.WriteDone(outcome):
+                    return outcome
+        return result.Failure(
+            state.Refusal(
+                state.Reason.NOT_READY,
+                state.Verdict.MAY_HAVE_RUN,
+                "the key-value service did not settle the change; "
+                "read the configuration before repeating it",
+                RETRY_MS,
+            )
+        )
+
+    def _offer_bytes(self, data: bytes) -> None:
+        try:
+            self.offer(documents.decode_head(data))
+        except errors.FieldError as error:
+            eliot.log_message("configuration-unreadable", error=str(error))
+
+    def _set_timer(self) -> None:
+        """Wake up when the next pending proposal's window closes."""
+        closes = [
+            p.closes_at_ms
+            for p in self.latest.proposals
+            if p.state is state.ProposalState.PENDING
+        ]
+        if not closes:
+            self.timer.set(None)
+            return
+        self.timer.set(min(closes) - self.wall_clock.now_ms() + 1)
+
+    def _on_window_closed(self) -> None:
+        self.task_set.spawn(self._settle())
+
+    async def _settle(self) -> None:
+        await self.change(
+            lambda head: coordination.settle(head, self.wall_clock.now_ms())
+        )
--- /dev/null
+++ b/poplarloft/daemon/frontend.py
@@ -0,0 +1,166 @@
+"""Leads each HTTP request to the part that answers it."""
+
+import typing
+
+from poplarloft.daemon import operators
+from poplarloft.daemon import relay
+from poplarloft.protocol import http
+from poplarloft.protocol import operators as messages
+from poplarloft import state
+
+if typing.TYPE_CHECKING:
+    from poplarloft.daemon import node
+
+__all__ = ["Frontend"]
+
+
+class Frontend:
+    """The daemon's paths.
+
+    Parameters
+    ----------
+    owner_node : node.Node
+        The daemon.
+    operator_api : operators.OperatorApi
+        Answers about the configuration.
+    """
+
+    def __init__(
+        self, owner_node: "node.Node", operator_api: operators.OperatorApi
+    ) -> None:
+        self.node = owner_node
+        self.operators = operator_api
+        self.in_flight = 0
+
+    async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        """Answer one request."""
+        self.in_flight += 1
+        try:
+            return await self._route(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _route(self, request: http.HttpRequest) -> http.HttpResponse:
+        if request.path.startswith(relay.ROUTE_PREFIX):
+            return await self.node.relay.handle(request)
+        match request.method, request.path.strip("/").split("/"):
+            case "GET", ["healthz"]:
+                return http.json_response(200, {"healthy": True})
+            case "GET", ["readyz"]:
+                return self._readiness()
+            case "POST", ["v1", "lots", name, "pull"]:
+                return await self.node.rollouts.handle_pull(name, request)
+            case method, ["v1", *parts]:
+                return await self._operate(request, method, parts)
+        return operators.refuse(
+            state.Reason.UNKNOWN_ROUTE,
+            f"nothing answers {request.method} {request.path[:200]!r}",
+        )
+
+    async def _operate(
+        self, request: http.HttpRequest, method: str, parts: list[str]
+    ) -> http.HttpResponse:
+        """Answer an operator, who must show an owner's token."""
+        owner = self.operators.find_owner(request)
+        if owner is None:
+            return operators.refuse(
+                state.Reason.UNAUTHENTICATED,
+                "an operator's bearer token is needed",
+            )
+        match method, parts:
+            case "GET", ["status"]:
+                return http.json_response(200, self._status())
+            case "GET", ["histograms"]:
+                return http.json_response(200, self._histograms(owner))
+            case "GET", ["config"]:
+                return self.operators.show()
+            case "POST", ["config", "proposals"]:
+                return await self.operators.propose(owner, request)
+            case "POST", ["config", "proposals", proposal_id, "accept"]:
+                return await self.operators.accept(owner, proposal_id)
+            case "POST", ["config", "proposals", proposal_id, "withdraw"]:
+                return await self.operators.withdraw(owner, proposal_id)
+            case "POST", ["config", "proposals", proposal_id, "dispute"]:
+                return await self.operators.dispute(
+                    owner, proposal_id, request
+                )
+            case "POST", ["drain"]:
+                self.node.stop_requested.set()
+                return http.json_response(202, {"draining": True})
+        return operators.refuse(
+            state.Reason.UNKNOWN_ROUTE,
+            f"nothing answers {method} {request.path[:200]!r}",
+        )
+
+    def _readiness(self) -> http.HttpResponse:
+        if self.node.is_ready:
+            return http.json_response(200, {"ready": True})
+        return operators.refuse(
+            state.Reason.NOT_READY,
+            "the instance has no configuration yet or is shutting down",
+        )
+
+    def _status(self) -> messages.InstanceStatus:
+        node = self.node
+        phase = node.shutdown.phase(self.in_flight)
+        return messages.InstanceStatus(
+            name=node.settings.name,
+            incarnation=node.incarnation.number,
+            region=node.place.region,
+            data_centre=node.place.data_centre,
+            phase=phase.value,
+            ready=node.is_ready,
+            revision=node.configuration.follower.revision,
+            in_flight=self.in_flight,
+            key_value_calls=node.store.calls,
+            upstreams=self._upstream_rows(),
+            lots=[
+                messages.LotRow(
+                    name=s.name,
+                    owner=s.owner,
+                    step=s.step,
+                    steps=s.steps,
+                    weight_version=s.weight_version,
+                    buffered=s.buffered,
+                    running=s.running,
+                    wasted_tokens=s.wasted_tokens,
+                )
+                for s in node.rollouts.statuses()
+            ],
+        )
+
+    def _upstream_rows(self) -> list[messages.UpstreamRow]:
+        registry = self.node.upstreams.registry
+        load = self.node.upstreams.load
+        rows = []
+        for upstream in registry.known.values():
+            report = load.reports.get(upstream.name)
+            rows.append(
+                messages.UpstreamRow(
+                    name=upstream.name,
+                    service=upstream.service,
+                    data_centre=upstream.place.data_centre,
+                    eligible=registry.is_eligible(upstream),
+                    queued_tokens=load.candidate(
+                        upstream.name, 0.0
+                    ).queued_tokens,
+                    weight_version=report.weight_version if report else None,
+                )
+            )
+        return rows
+
+    def _histograms(self, owner: str) -> list[messages.HistogramRow]:
+        """Return the histograms that concern `owner`'s callers."""
+        return [
+            messages.HistogramRow(
+                owner=s.key.owner,
+                request_class=s.key.request_class,
+                stage=s.key.stage,
+                count=s.count,
+                mean_ms=s.mean_ms,
+                max_ms=s.max_ms,
+                percentiles_ms={str(p): v for p, v in s.percentiles_ms},
+            )
+            for s in self.node.histograms.summaries()
+            if s.key.owner == owner
+        ]
--- /dev/null
+++ b/poplarloft/daemon/node.py
@@ -0,0 +1,209 @@
+"""One daemon: its parts, wired on one loop."""
+
+import asyncio
+import random
+import ssl
+
+import eliot
+
+from poplarloft import coordination
+from poplarloft.daemon import claims
+from poplarloft.daemon import configuration
+from poplarloft.daemon import frontend
+from poplarloft.daemon import generation
+from poplarloft.daemon import operators
+from poplarloft.daemon import relay
+from poplarloft.daemon import rollouts
+from poplarloft.daemon import tasks
+from poplarloft.daemon import upstreams
+from poplarloft.daemon import weights
+from poplarloft.protocol import addresses
+from poplarloft.protocol import settings as settings_module
+from poplarloft import state
+from poplarloft.transport import http_client
+from poplarloft.transport import http_server
+from poplarloft.transport import key_value
+from poplarloft.transport import metrics
+
+__all__ = ["Node"]
+
+MS_PER_S = 1_000
+
+
+class Node:
+    """A daemon's parts and their life from start to stop.
+
+    Parameters
+    ----------
+    settings : settings_module.DaemonSettings
+        Validated settings.
+    rng : random.Random or None
+        Randomness of all decisions.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.DaemonSettings,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.rng = rng or random.Random()
+        self.clock = state.MonotonicClock()
+        self.wall_clock = state.WallClock()
+        self.incarnation = state.Incarnation(
+            settings.name, self.wall_clock.now_ms()
+        )
+        self.place = state.Place(settings.region, settings.data_centre)
+        self.task_set = tasks.TaskSet()
+        self.client = http_client.HttpClient(settings.connect_timeout_ms)
+        self.store = key_value.HttpKeyValueStore(
+            self.client, addresses.parse_address(settings.key_value)
+        )
+        self.histograms = coordination.HistogramSet()
+        self.shutdown = coordination.ShutdownPlan(
+            self.clock, settings.drain_notice_ms, settings.drain_timeout_ms
+        )
+        self.configuration = configuration.ConfigurationService(
+            self.store, str(self.incarnation), self.wall_clock, self.task_set
+        )
+        self.upstreams = self._make_upstreams()
+        self.claims = self._make_claims()
+        self.policy = coordination.ROUTING_POLICIES[settings.routing_policy](
+            self.rng
+        )
+        self.relay = self._make_relay()
+        self.weights = weights.WeightService(
+            self.clock,
+            self.store,
+            str(self.incarnation),
+            self.place,
+            self.client,
+            self.upstreams,
+            self.task_set,
+        )
+        self.rollouts = self._make_rollouts()
+        self.stop_requested = asyncio.Event()
+        self.frontend = frontend.Frontend(
+            self,
+            operators.OperatorApi(self.configuration, self.wall_clock),
+        )
+        self.server = http_server.HttpServer(
+            self.frontend.handle,
+            self._server_limits(),
+            self.relay.max_body_bytes,
+            self._tls_context(),
+        )
+        self.address: state.Address | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send requests here."""
+        return self.shutdown.is_ready and self.configuration.is_known
+
+    async def start(self) -> state.Address:
+        """Start all parts; return the address that was bound."""
+        await self.upstreams.poll_list()
+        await self.upstreams.poll_engines()
+        self.task_set.spawn(self.configuration.watch())
+        self.task_set.spawn(self.upstreams.run())
+        self.task_set.spawn(self.weights.run())
+        listen = addresses.parse_address(self.settings.listen)
+        self.address = await self.server.start(listen)
+        eliot.log_message(
+            "started",
+            incarnation=str(self.incarnation),
+            address=str(self.address),
+        )
+        return self.address
+
+    async def stop(self) -> None:
+        """Shut down gracefully: nothing in flight is cut."""
+        self.shutdown.begin()
+        eliot.log_message("shutdown-begun")
+        await asyncio.sleep(self.shutdown.notice_left_ms() / MS_PER_S)
+        self.rollouts.stop()
+        cut = await self.server.drain(self.settings.drain_timeout_ms)
+        await self.task_set.cancel_all()
+        self.client.close()
+        eliot.log_message("stopped", cut=cut)
+
+    async def kill(self) -> None:
+        """Stop at once, as a crash would; for tests and the demo."""
+        self.server.stop_listening()
+        await self.server.drain(0)
+        await self.task_set.cancel_all()
+        self.client.close()
+
+    def _make_upstreams(self) -> upstreams.UpstreamService:
+        settings = self.settings
+        return upstreams.UpstreamService(
+            self.client,
+            coordination.UpstreamRegistry(self.clock),
+            coordination.LoadView(self.clock),
+            self.place,
+            addresses.parse_address(settings.instance_list),
+            settings.poll_interval_ms,
+        )
+
+    def _make_claims(self) -> claims.ClaimService:
+        settings = coordination.ClaimSettings(
+            shards=self.settings.claim_shards,
+            horizon_ms=self.settings.claim_horizon_ms,
+        )
+        book = coordination.ClaimBook(self.clock, self.wall_clock, settings)
+        return claims.ClaimService(
+            self.store, book, str(self.incarnation), self.rng, self.task_set
+        )
+
+    def _make_relay(self) -> relay.Relay:
+        return relay.Relay(
+            self.clock,
+            self.configuration,
+            self.upstreams,
+            self.claims,
+            self.client,
+            self.policy,
+            self.histograms,
+            self._make_metrics(),
+        )
+
+    def _make_rollouts(self) -> rollouts.RolloutService:
+        producer = generation.SampleProducer(
+            self.client, self.upstreams, self.policy
+        )
+        return rollouts.RolloutService(
+            self.clock,
+            self.store,
+            str(self.incarnation),
+            self.configuration,
+            self.upstreams,
+            producer,
+            self.weights,
+            self.task_set,
+        )
+
+    def _make_metrics(self) -> state.Metrics:
+        if self.settings.statsd is None:
+            return metrics.NoMetrics()
+        return metrics.StatsdMetrics(
+            addresses.parse_address(self.settings.statsd)
+        )
+
+    def _server_limits(self) -> http_server.ServerLimits:
+        settings = self.settings
+        return http_server.ServerLimits(
+            settings.max_head_bytes,
+            settings.head_timeout_ms,
+            settings.body_timeout_ms,
+            settings.idle_timeout_ms,
+            settings.max_connections,
+        )
+
+    def _tls_context(self) -> ssl.SSLContext | None:
+        if self.settings.tls_certificate is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(
+            self.settings.tls_certificate, self.settings.tls_key
+        )
+        return context
--- /dev/null
+++ b/poplarloft/daemon/tasks.py
@@ -0,0 +1,69 @@
+"""Tasks that run beside each other on the one loop."""
+
+import asyncio
+from collections import abc
+import typing
+
+import eliot
+
+__all__ = ["TaskSet", "WakeTimer"]
+
+MS_PER_S = 1_000
+
+
+class TaskSet:
+    """Keeps tasks alive and logs what ends one by surprise."""
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def spawn(
+        self, coroutine: abc.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> asyncio.Task[typing.Any]:
+        """Start a task."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._on_done)
+        return task
+
+    async def cancel_all(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_done(self, task: asyncio.Task[typing.Any]) -> None:
+        self.tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            eliot.log_message(
+                "task-failed", task=task.get_name(), error=repr(error)
+            )
+
+
+class WakeTimer:
+    """Calls back once at the time that was asked for last.
+
+    Parameters
+    ----------
+    callback : callable
+        Called without arguments on the loop.
+    """
+
+    def __init__(self, callback: abc.Callable[[], None]) -> None:
+        self.callback = callback
+        self.handle: asyncio.TimerHandle | None = None
+
+    def set(self, delay_ms: int | None) -> None:
+        """Set the timer anew; None takes it off."""
+        if self.handle is not None:
+            self.handle.cancel()
+            self.handle = None
+        if delay_ms is None:
+            return
+        loop = asyncio.get_running_loop()
+        delay_s = max(0, delay_ms) / MS_PER_S
+        self.handle = loop.call_later(delay_s, self.callback)
--- /dev/null
+++ b/poplarloft/daemon/upstreams.py
@@ -0,0 +1,177 @@
+"""Keeps up with the platform's instance list and the engines' reports."""
+
+import asyncio
+from collections import abc
+
+import eliot
+import msgspec
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.protocol import engine
+from poplarloft.protocol import errors
+from poplarloft.protocol import platform
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["UpstreamService"]
+
+MS_PER_S = 1_000
+POLL_TIMEOUT_MS = 1_000
+OK = 200
+SAME_REGION_PRICE_MS = 4.0
+OTHER_REGION_PRICE_MS = 120.0
+
+ReportListener = abc.Callable[[state.Upstream, engine.EngineState], None]
+SignListener = abc.Callable[[coordination.LeavingSign], None]
+
+
+class UpstreamService:
+    """What this instance knows of the upstreams.
+
+    Parameters
+    ----------
+    client : http_client.HttpClient
+        Connections.
+    registry : coordination.UpstreamRegistry
+        Which upstreams may get new work.
+    load : coordination.LoadView
+        What is believed of their load.
+    place : state.Place
+        Where this instance runs.
+    instance_list : state.Address
+        The platform's list.
+    poll_interval_ms : int
+        Time between two polls.
+    """
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        registry: coordination.UpstreamRegistry,
+        load: coordination.LoadView,
+        place: state.Place,
+        instance_list: state.Address,
+        poll_interval_ms: int,
+    ) -> None:
+        self.client = client
+        self.registry = registry
+        self.load = load
+        self.place = place
+        self.instance_list = instance_list
+        self.poll_interval_ms = poll_interval_ms
+        self.report_listeners: list[ReportListener] = []
+        self.sign_listeners: list[SignListener] = []
+        self.polled_by_me: abc.Callable[[str], bool] = lambda name: True
+        self.cache_sequences: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Poll the list and the engines until cancelled."""
+        while True:
+            await self.poll_list()
+            await self.poll_engines()
+            await asyncio.sleep(self.poll_interval_ms / MS_PER_S)
+
+    async def poll_list(self) -> None:
+        """Fetch the platform's list once."""
+        sent = await self.client.send(
+            self.instance_list,
+            "GET",
+            "/v1/instances",
+            timeout_ms=POLL_TIMEOUT_MS,
+        )
+        match sent:
+            case result.Success(answer):
+                await self._take_list(answer)
+
+    async def poll_engines(self) -> None:
+        """Ask each engine that this instance polls for its state."""
+        engines = [
+            u
+            for u in self.registry.of_kind(state.UpstreamKind.ENGINE)
+            if self.polled_by_me(u.name)
+        ]
+        await asyncio.gather(*(self._poll_engine(u) for u in engines))
+
+    def on_leaving(
+        self, name: str, incarnation: int, source: coordination.SignSource
+    ) -> None:
+        """Take a sign from a refusal, an upstream or a peer."""
+        self._tell(self.registry.on_leaving(name, incarnation, source))
+
+    def on_engine_state(
+        self, upstream: state.Upstream, answer: engine.EngineState
+    ) -> None:
+        """Take an engine's report, polled here or by a peer."""
+        now_ms = self.load.clock.now_ms()
+        self.load.on_report(engine.load_report(upstream.name, answer, now_ms))
+        self._note_cache_gap(upstream.name, answer.cache_sequence)
+        if answer.leaving:
+            self.on_leaving(
+                upstream.name,
+                upstream.incarnation,
+                coordination.SignSource.UPSTREAM,
+            )
+        for listener in self.report_listeners:
+            listener(upstream, answer)
+
+    def candidates(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[coordination.Candidate]:
+        """Return the eligible upstreams of a service with their load."""
+        return [
+            self.load.candidate(u.name, self._price_ms(u))
+            for u in self.registry.eligible(service)
+            if u.name not in excluded
+        ]
+
+    def find(self, name: str) -> state.Upstream:
+        """Return a known upstream by name."""
+        return self.registry.known[name]
+
+    def _price_ms(self, upstream: state.Upstream) -> float:
+        if upstream.place.data_centre == self.place.data_centre:
+            return 0.0
+        if upstream.place.region == self.place.region:
+            return SAME_REGION_PRICE_MS
+        return OTHER_REGION_PRICE_MS
+
+    async def _take_list(self, answer: http_client.UpstreamAnswer) -> None:
+        try:
+            body = await answer.read()
+            if answer.status != OK:
+                return
+            upstreams = platform.decode_instances(body)
+        except (OSError, msgspec.MsgspecError, errors.ProtocolError) as error:
+            eliot.log_message("instance-list-unreadable", error=str(error))
+            return
+        self._tell(self.registry.on_list(upstreams))
+
+    async def _poll_engine(self, upstream: state.Upstream) -> None:
+        sent = await self.client.send(
+            upstream.address, "GET", "/v1/state", timeout_ms=POLL_TIMEOUT_MS
+        )
+        match sent:
+            case result.Success(answer):
+                try:
+                    body = await answer.read()
+                    report = engine.decode_engine_state(body)
+                except (OSError, msgspec.MsgspecError):
+                    return
+                self.on_engine_state(upstream, report)
+
+    def _note_cache_gap(self, name: str, sequence: int) -> None:
+        known = self.cache_sequences.get(name, sequence)
+        if sequence < known:
+            self.load.on_cache_gap(name)
+        self.cache_sequences[name] = sequence
+
+    def _tell(self, signs: list[coordination.LeavingSign]) -> None:
+        for sign in signs:
+            eliot.log_message(
+                "upstream-leaving",
+                upstream=sign.upstream,
+                incarnation=sign.incarnation,
+            )
+            for listener in self.sign_listeners:
+                listener(sign)
--- /dev/null
+++ b/poplarloft/daemon/weights.py
@@ -0,0 +1,163 @@
+"""Sends the orders of weight rollouts to this data centre's engines."""
+
+import asyncio
+
+import eliot
+import msgspec
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.daemon import tasks
+from poplarloft.daemon import upstreams
+from poplarloft.protocol import engine
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["WeightService"]
+
+LEASE_TTL_MS = 5_000
+PLAN_INTERVAL_MS = 250
+MS_PER_S = 1_000
+OK = 200
+
+
+class WeightService:
+    """One weight rollout per engine service of this data centre.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    store : state.KeyValueStore
+        Holds the issuer's lease.
+    holder : str
+        This instance's incarnation.
+    place : state.Place
+        Where this instance runs.
+    client : http_client.HttpClient
+        Connections to engines.
+    upstream_service : upstreams.UpstreamService
+        Engines and their reports.
+    task_set : tasks.TaskSet
+        Runs orders.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        store: state.KeyValueStore,
+        holder: str,
+        place: state.Place,
+        client: http_client.HttpClient,
+        upstream_service: upstreams.UpstreamService,
+        task_set: tasks.TaskSet,
+    ) -> None:
+        self.clock = clock
+        self.store = store
+        self.holder = holder
+        self.place = place
+        self.client = client
+        self.upstreams = upstream_service
+        self.task_set = task_set
+        self.settings = coordination.WeightSettings()
+        self.rollouts: dict[str, coordination.WeightRollout] = {}
+        upstream_service.report_listeners.append(self._on_report)
+
+    def on_target(self, service: str, weight_version: int) -> None:
+        """Take the version that a trainer has published last."""
+        self._rollout(service).on_target(weight_version)
+
+    async def run(self) -> None:
+        """Renew leases and send orders until cancelled."""
+        while True:
+            for service, rollout in list(self.rollouts.items()):
+                await self._run_once(service, rollout)
+            await asyncio.sleep(PLAN_INTERVAL_MS / MS_PER_S)
+
+    async def _run_once(
+        self, service: str, rollout: coordination.WeightRollout
+    ) -> None:
+        if rollout.is_done() and rollout.fence is None:
+            return
+        await self._renew_lease(service, rollout)
+        for order in rollout.plan():
+            self.task_set.spawn(self._send(rollout, order))
+
+    async def _renew_lease(
+        self, service: str, rollout: coordination.WeightRollout
+    ) -> None:
+        name = f"weights/{service}/{self.place.data_centre}"
+        leased = await self.store.lease(name, self.holder, LEASE_TTL_MS)
+        match leased:
+            case result.Success(lease):
+                rollout.on_lease(lease)
+            case _:
+                rollout.on_lease(None)
+
+    async def _send(
+        self,
+        rollout: coordination.WeightRollout,
+        order: coordination.SendOrder,
+    ) -> None:
+        upstream = self.upstreams.find(order.engine)
+        message = engine.WeightOrder(
+            kind=order.kind.value,
+            weight_version=order.weight_version,
+            fence=order.fence,
+        )
+        sent = await self.client.send(
+            upstream.address,
+            "POST",
+            "/v1/orders",
+            body=engine.encode(message),
+            timeout_ms=self.settings.order_timeout_ms,
+        )
+        accepted = False
+        match sent:
+            case result.Success(answer):
+                accepted = await _is_accepted(answer)
+        rollout.on_order_done(order.engine, accepted)
+        eliot.log_message(
+            "weight-order",
+            engine=order.engine,
+            kind=order.kind.value,
+            weight_version=order.weight_version,
+            fence=order.fence,
+            accepted=accepted,
+        )
+
+    def _rollout(self, service: str) -> coordination.WeightRollout:
+        found = self.rollouts.get(service)
+        if found is None:
+            found = coordination.WeightRollout(self.clock, self.settings)
+            self.rollouts[service] = found
+        return found
+
+    def _on_report(
+        self, upstream: state.Upstream, answer: engine.EngineState
+    ) -> None:
+        if upstream.place.data_centre != self.place.data_centre:
+            return
+        rollout = self._rollout(upstream.service)
+        if not self.upstreams.registry.is_eligible(upstream):
+            rollout.on_gone(upstream.name)
+            return
+        rollout.on_report(
+            coordination.EngineReport(
+                upstream.name,
+                upstream.incarnation,
+                answer.weight_version,
+                frozenset(answer.preloaded),
+                upstream.honours_fence,
+            )
+        )
+
+
+async def _is_accepted(answer: http_client.UpstreamAnswer) -> bool:
+    try:
+        body = await answer.read()
+        if answer.status != OK:
+            return False
+        return engine.decode_order_answer(body).accepted
+    except (OSError, msgspec.MsgspecError):
+        return False
--- /dev/null
+++ b/poplarloft/protocol/__init__.py
@@ -0,0 +1,137 @@
+"""The border: validated models, parsing and encoding of messages."""
+
+from poplarloft.protocol.addresses import AddressText
+from poplarloft.protocol.addresses import parse_address
+from poplarloft.protocol.credentials import find_caller
+from poplarloft.protocol.credentials import find_operator
+from poplarloft.protocol.documents import canonical_bytes
+from poplarloft.protocol.documents import decode_document
+from poplarloft.protocol.documents import decode_head
+from poplarloft.protocol.documents import document_schema
+from poplarloft.protocol.documents import encode_document
+from poplarloft.protocol.documents import encode_head
+from poplarloft.protocol.documents import HEAD_KEY
+from poplarloft.protocol.documents import MAX_DOCUMENT_BYTES
+from poplarloft.protocol.documents import proposal_id
+from poplarloft.protocol.engine import CompletionRequest
+from poplarloft.protocol.engine import decode_engine_state
+from poplarloft.protocol.engine import decode_order_answer
+from poplarloft.protocol.engine import decode_score
+from poplarloft.protocol.engine import decode_stream_line
+from poplarloft.protocol.engine import encode
+from poplarloft.protocol.engine import EngineState
+from poplarloft.protocol.engine import load_report
+from poplarloft.protocol.engine import OrderAnswer
+from poplarloft.protocol.engine import ScoreAnswer
+from poplarloft.protocol.engine import ScoreRequest
+from poplarloft.protocol.engine import StreamLine
+from poplarloft.protocol.engine import WeightOrder
+from poplarloft.protocol.errors import FieldError
+from poplarloft.protocol.errors import first_field_error
+from poplarloft.protocol.errors import ProtocolError
+from poplarloft.protocol.http import bearer_digest
+from poplarloft.protocol.http import CallerHeaders
+from poplarloft.protocol.http import claim_key
+from poplarloft.protocol.http import HttpRequest
+from poplarloft.protocol.http import HttpResponse
+from poplarloft.protocol.http import json_response
+from poplarloft.protocol.http import NOT_EXECUTED_HEADER
+from poplarloft.protocol.http import parse_caller_headers
+from poplarloft.protocol.http import problem_response
+from poplarloft.protocol.http import request_fingerprint
+from poplarloft.protocol.ledgers import decode_ledger
+from poplarloft.protocol.ledgers import encode_ledger
+from poplarloft.protocol.ledgers import ledger_key
+from poplarloft.protocol.operators import decode_reason
+from poplarloft.protocol.operators import HistogramRow
+from poplarloft.protocol.operators import InstanceStatus
+from poplarloft.protocol.operators import LotRow
+from poplarloft.protocol.operators import parse_window_ms
+from poplarloft.protocol.operators import proposal_status
+from poplarloft.protocol.operators import ProposalStatus
+from poplarloft.protocol.operators import UpstreamRow
+from poplarloft.protocol.platform import decode_instances
+from poplarloft.protocol.platform import decode_key_value
+from poplarloft.protocol.platform import decode_lease
+from poplarloft.protocol.platform import encode_instances
+from poplarloft.protocol.platform import KeyValueAnswer
+from poplarloft.protocol.platform import LeaseAnswer
+from poplarloft.protocol.platform import LeaseRequest
+from poplarloft.protocol.pulls import decode_pull_answer
+from poplarloft.protocol.pulls import decode_pull_request
+from poplarloft.protocol.pulls import encode_pull_answer
+from poplarloft.protocol.pulls import encode_pull_request
+from poplarloft.protocol.pulls import PullAnswer
+from poplarloft.protocol.pulls import PullRequest
+from poplarloft.protocol.settings import DaemonSettings
+from poplarloft.protocol.settings import load_settings
+from poplarloft.protocol.settings import settings_reference
+
+__all__ = [
+    "AddressText",
+    "bearer_digest",
+    "CallerHeaders",
+    "canonical_bytes",
+    "claim_key",
+    "CompletionRequest",
+    "DaemonSettings",
+    "decode_document",
+    "decode_engine_state",
+    "decode_head",
+    "decode_instances",
+    "decode_key_value",
+    "decode_lease",
+    "decode_ledger",
+    "decode_order_answer",
+    "decode_pull_answer",
+    "decode_pull_request",
+    "decode_reason",
+    "decode_score",
+    "decode_stream_line",
+    "document_schema",
+    "encode",
+    "encode_document",
+    "encode_head",
+    "encode_instances",
+    "encode_ledger",
+    "encode_pull_answer",
+    "encode_pull_request",
+    "EngineState",
+    "FieldError",
+    "find_caller",
+    "find_operator",
+    "first_field_error",
+    "HEAD_KEY",
+    "HistogramRow",
+    "HttpRequest",
+    "HttpResponse",
+    "InstanceStatus",
+    "json_response",
+    "KeyValueAnswer",
+    "LeaseAnswer",
+    "LeaseRequest",
+    "ledger_key",
+    "load_report",
+    "load_settings",
+    "LotRow",
+    "MAX_DOCUMENT_BYTES",
+    "NOT_EXECUTED_HEADER",
+    "OrderAnswer",
+    "parse_address",
+    "parse_caller_headers",
+    "parse_window_ms",
+    "problem_response",
+    "proposal_id",
+    "proposal_status",
+    "ProposalStatus",
+    "ProtocolError",
+    "PullAnswer",
+    "PullRequest",
+    "request_fingerprint",
+    "ScoreAnswer",
+    "ScoreRequest",
+    "settings_reference",
+    "StreamLine",
+    "UpstreamRow",
+    "WeightOrder",
+]
--- /dev/null
+++ b/poplarloft/protocol/addresses.py
@@ -0,0 +1,45 @@
+"""Parsing of IP numbers with ports."""
+
+import ipaddress
+import typing
+
+import pydantic
+
+from poplarloft.protocol import errors
+from poplarloft import state
+
+__all__ = ["AddressText", "parse_address"]
+
+MAX_PORT = 65_535
+
+
+def parse_address(text: str) -> state.Address:
+    """Return the address in ``ip:port`` or ``[ipv6]:port`` form.
+
+    Raises
+    ------
+    ProtocolError
+        If the host is not an IP number or the port not in 0 to 65535.
+    """
+    host, separator, port_text = text.rpartition(":")
+    if not separator:
+        raise errors.ProtocolError("expected IP-NUMBER:PORT")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise errors.ProtocolError(
+            f"host {host!r} is not an IP number; names are not resolved"
+        ) from None
+    if not port_text.isdecimal() or int(port_text) > MAX_PORT:
+        raise errors.ProtocolError(
+            f"port {port_text!r} is not a number from 0 to {MAX_PORT}"
+        )
+    return state.Address(str(ip), int(port_text))
+
+
+def _check(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+AddressText = typing.Annotated[str, pydantic.AfterValidator(_check)]
--- /dev/null
+++ b/poplarloft/state/__init__.py
@@ -0,0 +1,91 @@
+"""Data classes, identities and the ports to what is outside."""
+
+from poplarloft.state.claims import Claim
+from poplarloft.state.claims import ClaimKey
+from poplarloft.state.claims import Ledger
+from poplarloft.state.claims import LedgerId
+from poplarloft.state.clock import Clock
+from poplarloft.state.clock import ManualClock
+from poplarloft.state.clock import MonotonicClock
+from poplarloft.state.clock import WallClock
+from poplarloft.state.configuration import Body
+from poplarloft.state.configuration import Configuration
+from poplarloft.state.configuration import Document
+from poplarloft.state.configuration import DocumentKind
+from poplarloft.state.configuration import LotBody
+from poplarloft.state.configuration import Mark
+from poplarloft.state.configuration import OwnerBody
+from poplarloft.state.configuration import Proposal
+from poplarloft.state.configuration import ProposalState
+from poplarloft.state.configuration import ReleaseBody
+from poplarloft.state.configuration import RouteBody
+from poplarloft.state.configuration import WeightsBody
+from poplarloft.state.document import ABSENT_VERSION
+from poplarloft.state.document import Lease
+from poplarloft.state.document import Versioned
+from poplarloft.state.document import WriteOutcome
+from poplarloft.state.document import WriteResult
+from poplarloft.state.identity import Address
+from poplarloft.state.identity import Incarnation
+from poplarloft.state.identity import Place
+from poplarloft.state.ports import InstanceList
+from poplarloft.state.ports import KeyValueStore
+from poplarloft.state.ports import Metrics
+from poplarloft.state.samples import Chunk
+from poplarloft.state.samples import Holdings
+from poplarloft.state.samples import Sample
+from poplarloft.state.samples import Slot
+from poplarloft.state.samples import Span
+from poplarloft.state.upstream import LoadReport
+from poplarloft.state.upstream import Upstream
+from poplarloft.state.upstream import UpstreamKind
+from poplarloft.state.upstream import UpstreamStatus
+from poplarloft.state.verdict import Reason
+from poplarloft.state.verdict import Refusal
+from poplarloft.state.verdict import Verdict
+
+__all__ = [
+    "ABSENT_VERSION",
+    "Address",
+    "Body",
+    "Chunk",
+    "Claim",
+    "ClaimKey",
+    "Clock",
+    "Configuration",
+    "Document",
+    "DocumentKind",
+    "Holdings",
+    "Incarnation",
+    "InstanceList",
+    "KeyValueStore",
+    "Lease",
+    "Ledger",
+    "LedgerId",
+    "LoadReport",
+    "LotBody",
+    "ManualClock",
+    "Mark",
+    "Metrics",
+    "MonotonicClock",
+    "OwnerBody",
+    "Place",
+    "Proposal",
+    "ProposalState",
+    "Reason",
+    "Refusal",
+    "ReleaseBody",
+    "RouteBody",
+    "Sample",
+    "Slot",
+    "Span",
+    "Upstream",
+    "UpstreamKind",
+    "UpstreamStatus",
+    "Verdict",
+    "Versioned",
+    "WallClock",
+    "WeightsBody",
+    "WriteOutcome",
+    "WriteResult",
+]
--- /dev/null
+++ b/poplarloft/state/clock.py
@@ -0,0 +1,60 @@
+"""Clock types; every time in the project is an integer in milliseconds."""
+
+import time
+import typing
+
+__all__ = ["Clock", "ManualClock", "MonotonicClock", "WallClock"]
+
+NANOSECONDS_PER_MS = 1_000_000
+
+
+class Clock(typing.Protocol):
+    """A source of the current time."""
+
+    def now_ms(self) -> int:
+        """Return the current time in milliseconds."""
+
+
+class MonotonicClock:
+    """Time since an arbitrary origin, never set back; for durations."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since the origin of the system's clock."""
+        return time.monotonic_ns() // NANOSECONDS_PER_MS
+
+
+class WallClock:
+    """Time since the Unix epoch; for values that instances compare."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+        return time.time_ns() // NANOSECONDS_PER_MS
+
+
+class ManualClock:
+    """A clock that only moves when told to; for tests and experiments.
+
+    Parameters
+    ----------
+    start_ms : int
+        The first time that the clock shows.
+    """
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self.time_ms = start_ms
+
+    def now_ms(self) -> int:
+        """Return the time last set, in milliseconds."""
+        return self.time_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Move the clock forward by `duration_ms` milliseconds.
+
+        Raises
+        ------
+        ValueError
+            If `duration_ms` is negative.
+        """
+        if duration_ms < 0:
+            raise ValueError(f"duration_ms is {duration_ms}, expected >= 0")
+        self.time_ms += duration_ms
--- /dev/null
+++ b/poplarloft/state/identity.py
@@ -0,0 +1,43 @@
+"""Names of the parties: instances, their incarnations, upstreams."""
+
+import dataclasses
+
+__all__ = ["Address", "Incarnation", "Place"]
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Incarnation:
+    """One life of a process: its name and a number that grows per start.
+
+    Parameters
+    ----------
+    name : str
+        The name that the process keeps across restarts.
+    number : int
+        The start time in milliseconds since the Unix epoch.
+    """
+
+    name: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.name}#{self.number}"
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Address:
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Place:
+    """Where an instance runs: a data centre and its region."""
+
+    region: str
+    data_centre: str
--- /dev/null
+++ b/poplarloft/transport/__init__.py
@@ -0,0 +1,23 @@
+"""Sockets: HTTP server and client, peers, metrics, platform clients."""
+
+from poplarloft.transport.errors import TransportFailure
+from poplarloft.transport.http_client import AnswerCut
+from poplarloft.transport.http_client import HttpClient
+from poplarloft.transport.http_client import UpstreamAnswer
+from poplarloft.transport.http_server import HttpServer
+from poplarloft.transport.http_server import ServerLimits
+from poplarloft.transport.key_value import HttpKeyValueStore
+from poplarloft.transport.metrics import NoMetrics
+from poplarloft.transport.metrics import StatsdMetrics
+
+__all__ = [
+    "AnswerCut",
+    "HttpClient",
+    "HttpKeyValueStore",
+    "HttpServer",
+    "NoMetrics",
+    "ServerLimits",
+    "StatsdMetrics",
+    "TransportFailure",
+    "UpstreamAnswer",
+]
--- /dev/null
+++ b/poplarloft/transport/http_client.py
@@ -0,0 +1,312 @@
+"""HTTP/1.1 client with pooled connections, on h11 and asyncio."""
+
+import asyncio
+from collections import abc
+import ssl
+
+import h11
+from returns import result
+
+from poplarloft.coordination import retries
+from poplarloft import state
+from poplarloft.transport import errors
+
+__all__ = ["AnswerCut", "HttpClient", "UpstreamAnswer"]
+
+READ_BYTES = 65_536
+Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+MAX_HEAD_BYTES = 65_536
+MS_PER_S = 1_000
+FailureKind = retries.FailureKind
+
+
+class AnswerCut(ConnectionError):
+    """An answer's body ended before its end mark."""
+
+
+class _Connection:
+    """One connection and the state of its current exchange."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.writer.transport.abort()
+
+    def is_reusable(self) -> bool:
+        """Tell whether another exchange may follow."""
+        http = self.http
+        return (
+            http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+            and not self.reader.at_eof()
+            and not self.writer.is_closing()
+        )
+
+    async def next_event(self) -> Event:
+        """Return the next event, reading from the socket as needed."""
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.http.receive_data(await self.reader.read(READ_BYTES))
+
+    def buffered_event(self) -> Event:
+        """Return the next event that needs no further reading."""
+        return self.http.next_event()
+
+
+class UpstreamAnswer:
+    """The head of an answer, and its body as it arrives.
+
+    An answer that isn't read to its end must be closed; its connection
+    is not used again.
+    """
+
+    def __init__(
+        self,
+        pool: "HttpClient",
+        address: state.Address,
+        connection: _Connection,
+        head: h11.Response,
+    ) -> None:
+        self.pool = pool
+        self.address = address
+        self.connection = connection
+        self.status = int(head.status_code)
+        self.headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        self.ended = False
+
+    async def chunks(self) -> abc.AsyncIterator[bytes]:
+        """Yield the body in pieces as large as each read gave.
+
+        Raises
+        ------
+        AnswerCut
+            If the upstream ends the connection before the body's end.
+        """
+        try:
+            while not self.ended:
+                piece = await self._read_piece()
+                if piece:
+                    yield piece
+        finally:
+            self.close()
+
+    async def read(self) -> bytes:
+        """Return the whole body; raises `AnswerCut`."""
+        return b"".join([piece async for piece in self.chunks()])
+
+    def close(self) -> None:
+        """Return the connection if the body has ended, else close it."""
+        if self.ended:
+            self.pool.give_back(self.address, self.connection)
+        else:
+            self.connection.close()
+
+    async def _read_piece(self) -> bytes:
+        """Return what one read of the socket brought."""
+        try:
+            event = await self.connection.next_event()
+            pieces = []
+            while isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+                event = self.connection.buffered_event()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise AnswerCut(str(error) or "connection lost") from error
+        if isinstance(event, h11.EndOfMessage):
+            self.ended = True
+        return b"".join(pieces)
+
+
+class HttpClient:
+    """Sends requests to addresses; keeps idle connections.
+
+    Parameters
+    ----------
+    connect_timeout_ms : int
+        Longest time to connect.
+    max_idle : int
+        Idle connections kept per address.
+    tls : ssl.SSLContext or None
+        Set for TLS.
+    """
+
+    def __init__(
+        self,
+        connect_timeout_ms: int = 1_000,
+        max_idle: int = 64,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.connect_timeout_ms = connect_timeout_ms
+        self.max_idle = max_idle
+        self.tls = tls
+        self.idle: dict[state.Address, list[_Connection]] = {}
+
+    async def send(
+        self,
+        address: state.Address,
+        method: str,
+        target: str,
+        headers: abc.Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+        timeout_ms: int = 30_000,
+        fresh: bool = False,
+    ) -> result.Result[UpstreamAnswer, errors.TransportFailure]:
+        """Send a request and return the answer once its head is there.
+
+        Parameters
+        ----------
+        address : state.Address
+            Where to.
+        method, target, headers, body
+            The request; length and host headers are added.
+        timeout_ms : int
+            Longest time until the answer's head.
+        fresh : bool
+            Whether to use a new connection: an idle one may have been
+            closed by the upstream, which a request that must not run
+            twice could not tell from a failure.
+
+        Returns
+        -------
+        Result
+            The answer, or the kind of failure.
+        """
+        opened = await self._open(address, fresh)
+        match opened:
+            case result.Success(connection):
+                return await self._exchange(
+                    address,
+                    connection,
+                    _request(address, method, target, headers, body),
+                    body,
+                    timeout_ms,
+                )
+            case result.Failure(failure):
+                return result.Failure(failure)
+        raise AssertionError(opened)
+
+    def give_back(
+        self, address: state.Address, connection: _Connection
+    ) -> None:
+        """Keep a connection for later, if it can be used again."""
+        idle = self.idle.setdefault(address, [])
+        if not connection.is_reusable() or len(idle) >= self.max_idle:
+            connection.close()
+            return
+        connection.http.start_next_cycle()
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.close()
+        self.idle.clear()
+
+    async def _open(
+        self, address: state.Address, fresh: bool
+    ) -> result.Result[_Connection, errors.TransportFailure]:
+        idle = self.idle.get(address, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if not connection.reader.at_eof():
+                return result.Success(connection)
+            connection.close()
+        try:
+            async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port, ssl=self.tls
+                )
+        except TimeoutError:
+            return result.Failure(
+                errors.TransportFailure(
+                    FailureKind.CONNECT_TIMEOUT,
+                    f"no connection in {self.connect_timeout_ms} ms",
+                )
+            )
+        except OSError as error:
+            return result.Failure(
+                errors.TransportFailure(
+                    FailureKind.CONNECT_REFUSED, str(error)
+                )
+            )
+        return result.Success(_Connection(reader, writer))
+
+    async def _exchange(
+        self,
+        address: state.Address,
+        connection: _Connection,
+        request: h11.Request,
+        body: bytes,
+        timeout_ms: int,
+    ) -> result.Result[UpstreamAnswer, errors.TransportFailure]:
+        kind = FailureKind.RESET_AFTER_SEND
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self._write(connection, request, body)
+                head = await _read_head(connection)
+            return result.Success(
+                UpstreamAnswer(self, address, connection, head)
+            )
+        except TimeoutError:
+            kind = FailureKind.TIMEOUT
+            detail = f"no answer in {timeout_ms} ms"
+        except OSError as error:
+            detail = str(error) or "connection lost"
+        except h11.RemoteProtocolError as error:
+            detail = str(error)
+            if connection.http.their_state is not h11.ERROR or (
+                connection.reader.at_eof()
+            ):
+                detail = "connection closed before an answer"
+            else:
+                kind = FailureKind.MALFORMED_ANSWER
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        connection.close()
+        return result.Failure(errors.TransportFailure(kind, detail))
+
+    async def _write(
+        self, connection: _Connection, request: h11.Request, body: bytes
+    ) -> None:
+        parts = [connection.http.send(request)]
+        if body:
+            parts.append(connection.http.send(h11.Data(data=body)))
+        parts.append(connection.http.send(h11.EndOfMessage()))
+        connection.writer.write(b"".join(p for p in parts if p))
+        await connection.writer.drain()
+
+
+async def _read_head(connection: _Connection) -> h11.Response:
+    while True:
+        event = await connection.next_event()
+        if isinstance(event, h11.Response):
+            return event
+        if isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError("connection closed before an answer")
+
+
+def _request(
+    address: state.Address,
+    method: str,
+    target: str,
+    headers: abc.Iterable[tuple[str, str]],
+    body: bytes,
+) -> h11.Request:
+    all_headers = [("host", str(address)), *headers]
+    all_headers.append(("content-length", str(len(body))))
+    return h11.Request(method=method, target=target, headers=all_headers)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, for tests, the demo and experiments."""
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,126 @@
+"""Stand-in of callers: sends requests, repeats them, checks answers."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import enum
+
+import msgspec
+from returns import result
+import uuid6
+
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["CallOutcome", "Caller", "CallerRecord"]
+
+OK = 200
+MS_PER_S = 1_000
+
+
+class CallOutcome(enum.StrEnum):
+    """How a call ended for its caller."""
+
+    WHOLE = "whole"
+    CUT = "cut"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    NO_ANSWER = "no-answer"
+
+
+@dataclasses.dataclass
+class CallerRecord:
+    """What callers counted."""
+
+    sent: int = 0
+    outcomes: dict[str, CallOutcome] = dataclasses.field(default_factory=dict)
+    wrong_answers: int = 0
+
+    def count(self, outcome: CallOutcome) -> int:
+        """Return the number of calls that ended so."""
+        return sum(o is outcome for o in self.outcomes.values())
+
+
+class Caller:
+    """Calls a plain service through any of several daemons.
+
+    Parameters
+    ----------
+    addresses : sequence of state.Address
+        Daemons, as a balancer would choose among them.
+    token : str
+        The owner's bearer token.
+    """
+
+    def __init__(
+        self, addresses: abc.Sequence[state.Address], token: str
+    ) -> None:
+        self.addresses = list(addresses)
+        self.token = token
+        self.client = http_client.HttpClient()
+        self.record = CallerRecord()
+        self.position = 0
+
+    async def call(
+        self,
+        route: str,
+        request_key: str,
+        keyed: bool = False,
+        tries: int = 3,
+        deadline_ms: int = 5_000,
+    ) -> CallOutcome:
+        """Send one call, and again after a proven "not run"."""
+        headers = [
+            ("authorization", f"Bearer {self.token}"),
+            ("x-request-key", request_key),
+            ("poplarloft-deadline-ms", str(deadline_ms)),
+        ]
+        if keyed:
+            headers.append(("idempotency-key", str(uuid6.uuid7())))
+        outcome = CallOutcome.NO_ANSWER
+        for _ in range(tries):
+            outcome = await self._send(route, request_key, headers)
+            if outcome is not CallOutcome.NOT_RUN:
+                break
+            await asyncio.sleep(0.2)
+        self.record.outcomes[request_key] = outcome
+        return outcome
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.client.close()
+
+    async def _send(
+        self, route: str, request_key: str, headers: list[tuple[str, str]]
+    ) -> CallOutcome:
+        self.record.sent += 1
+        self.position += 1
+        address = self.addresses[self.position % len(self.addresses)]
+        sent = await self.client.send(
+            address,
+            "POST",
+            f"/r/{route}/run",
+            headers,
+            request_key.encode(),
+            fresh=True,
+        )
+        match sent:
+            case result.Success(answer):
+                return await self._judge(request_key, answer)
+        return CallOutcome.NO_ANSWER
+
+    async def _judge(
+        self, request_key: str, answer: http_client.UpstreamAnswer
+    ) -> CallOutcome:
+        try:
+            body = await answer.read()
+        except OSError:
+            return CallOutcome.CUT
+        if answer.status == OK:
+            ran = msgspec.json.decode(body)["ran"]
+            self.record.wrong_answers += ran != request_key
+            return CallOutcome.WHOLE
+        verdict = answer.headers.get("poplarloft-verdict")
+        if verdict == state.Verdict.NOT_RUN:
+            return CallOutcome.NOT_RUN
+        return CallOutcome.MAY_HAVE_RUN
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,245 @@
+"""The main job on embedded stand-ins, with faults on the way."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import pathlib
+import tempfile
+
+from poplarloft import client
+from poplarloft import coordination
+from poplarloft.daemon import logs
+from poplarloft.daemon import node as node_module
+from poplarloft import state
+from standins import caller
+from standins import platform
+from standins import trainer
+
+__all__ = ["DemoReport", "run_demo"]
+
+LOT = "ranker"
+STEPS = 2
+GROUPS = 8
+SAMPLES_PER_GROUP = 8
+STALENESS_BOUND = 1
+LIVE_CALLS = 300
+CALLS_AT_A_TIME = 12
+STEP_TIMEOUT_MS = 20_000
+TRAIN_MS = 500
+OUTAGE_MS = 1_200
+WARM_UP_MS = 500
+MS_PER_S = 1_000
+
+Progress = abc.Callable[[str], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class DemoReport:
+    """Figures of the demo, counted by the stand-ins' own records."""
+
+    samples_requested: int
+    samples_delivered: int
+    samples_duplicate: int
+    samples_mislabelled: int
+    samples_stale: int
+    requests_sent: int
+    answers_whole: int
+    answers_cut: int
+    answers_wrong: int
+    nonrepeatable_run_twice: int
+    refused_not_run: int
+    refused_but_ran: int
+    trainer_idle_ms: int
+    engine_crashes: int
+    key_value_calls: int
+
+
+async def run_demo(seed: int, progress: Progress) -> DemoReport:
+    """Run the demo and return its figures.
+
+    Parameters
+    ----------
+    seed : int
+        Seeds all randomness; times still differ between runs.
+    progress : callable
+        Called with a line for people at each stage.
+    """
+    small = platform.SmallPlatform(seed)
+    with tempfile.TemporaryDirectory() as folder:
+        log_path = pathlib.Path(folder) / "demo.log"
+        with log_path.open("wb") as log:
+            logs.start_logging("demo", log)
+            try:
+                return await _run(small, progress)
+            finally:
+                await small.stop()
+
+
+async def _run(
+    small: platform.SmallPlatform, progress: Progress
+) -> DemoReport:
+    await small.start()
+    progress("6 engines, 3 plain services and 1 scorer in 3 data centres")
+    small.put_in_force(
+        *(platform.owner_document(owner) for owner in platform.OWNERS)
+    )
+    first = await small.start_node("entry-1", platform.PLACES[0])
+    second = await small.start_node("entry-2", platform.PLACES[1])
+    await asyncio.sleep(WARM_UP_MS / MS_PER_S)
+    progress(f"2 daemons at {first.address} and {second.address}")
+    for document in (_route("find", True), _route("sync", False), _lot()):
+        await _agree(first, document)
+    progress("2 routes and 1 lot proposed, accepted and in force")
+    callers = [
+        caller.Caller([_address(first), _address(second)], _token(owner))
+        for owner in platform.OWNERS[:1]
+    ]
+    job = _trainer(small, [first, second])
+    async with asyncio.TaskGroup() as group:
+        group.create_task(job.run(STEPS, STEP_TIMEOUT_MS))
+        group.create_task(_call_all(callers[0], progress))
+        group.create_task(_cause_faults(small, second, callers, progress))
+    callers[0].close()
+    job.client.close()
+    progress("both steps delivered, all calls answered")
+    return _report(small, callers[0].record, job.record)
+
+
+async def _agree(first: node_module.Node, document: state.Document) -> None:
+    """Propose a document for one owner and accept it for the other."""
+    service = first.configuration
+    proposal_id = f"demo-{document.name}"
+    closes_at_ms = first.wall_clock.now_ms() + STEP_TIMEOUT_MS
+    await service.change(
+        lambda head: coordination.propose(
+            head, document, document.owner, proposal_id, closes_at_ms
+        )
+    )
+    await service.change(
+        lambda head: coordination.accept(head, proposal_id, platform.OWNERS[1])
+    )
+
+
+async def _call_all(live: caller.Caller, progress: Progress) -> None:
+    """Send the live calls, a few at a time, half of them keyed."""
+    waiting = list(range(LIVE_CALLS))
+
+    async def worker() -> None:
+        while waiting:
+            number = waiting.pop()
+            if number % 100 == 0:
+                progress(f"{LIVE_CALLS - number} live calls sent")
+            keyed = number % 2 == 0
+            route = "sync" if keyed else "find"
+            await live.call(route, f"{route}-{number}", keyed, tries=20)
+            await asyncio.sleep(0.05)
+
+    async with asyncio.TaskGroup() as group:
+        for _ in range(CALLS_AT_A_TIME):
+            group.create_task(worker())
+
+
+async def _cause_faults(
+    small: platform.SmallPlatform,
+    second: node_module.Node,
+    callers: list[caller.Caller],
+    progress: Progress,
+) -> None:
+    await asyncio.sleep(0.2)
+    progress("engine-0 crashes")
+    await small.engines[0].crash()
+    progress(f"key-value service down for {OUTAGE_MS} ms")
+    small.key_value.faults.outage = True
+    await asyncio.sleep(OUTAGE_MS / MS_PER_S)
+    small.key_value.faults.outage = False
+    progress("entry-2 stops gracefully")
+    stopping = asyncio.create_task(second.stop())
+    await asyncio.sleep(second.settings.drain_notice_ms / 2 / MS_PER_S)
+    for live in callers:
+        live.addresses = live.addresses[:1]
+    await stopping
+
+
+def _trainer(
+    small: platform.SmallPlatform, nodes: list[node_module.Node]
+) -> trainer.Trainer:
+    collector = coordination.StepCollector(
+        LOT, "trainer#1", GROUPS, SAMPLES_PER_GROUP, STALENESS_BOUND
+    )
+    rollout_client = client.RolloutClient(
+        [_address(n) for n in reversed(nodes)],
+        _token(platform.OWNERS[0]),
+        collector,
+    )
+    return trainer.Trainer(
+        rollout_client, STALENESS_BOUND, TRAIN_MS, small.weights.publish
+    )
+
+
+def _route(name: str, repeatable: bool) -> state.Document:
+    body = state.RouteBody("directorio-app", repeatable, timeout_ms=5_000)
+    return state.Document(
+        state.DocumentKind.ROUTE, platform.OWNERS[0], name, body
+    )
+
+
+def _lot() -> state.Document:
+    body = state.LotBody(
+        "modelo-pool",
+        "ranker",
+        "scorer",
+        tuple(f"Rank the experts of brief {n}. " * 8 for n in range(GROUPS)),
+        GROUPS,
+        SAMPLES_PER_GROUP,
+        STEPS,
+        STALENESS_BOUND,
+        max_tokens=256,
+    )
+    return state.Document(
+        state.DocumentKind.LOT, platform.OWNERS[0], LOT, body
+    )
+
+
+def _token(owner: str) -> str:
+    return platform.caller_token(owner)
+
+
+def _address(node: node_module.Node) -> state.Address:
+    assert node.address is not None
+    return node.address
+
+
+def _report(
+    small: platform.SmallPlatform,
+    live: caller.CallerRecord,
+    trained: trainer.TrainerRecord,
+) -> DemoReport:
+    runs: dict[str, int] = {}
+    for plain in small.plains:
+        for key, count in plain.runs.items():
+            runs[key] = runs.get(key, 0) + count
+    not_run = [
+        key
+        for key, outcome in live.outcomes.items()
+        if outcome is caller.CallOutcome.NOT_RUN
+    ]
+    return DemoReport(
+        samples_requested=STEPS * GROUPS * SAMPLES_PER_GROUP,
+        samples_delivered=trained.delivered,
+        samples_duplicate=trained.duplicate,
+        samples_mislabelled=trained.mislabelled,
+        samples_stale=trained.stale,
+        requests_sent=live.sent,
+        answers_whole=live.count(caller.CallOutcome.WHOLE),
+        answers_cut=live.count(caller.CallOutcome.CUT)
+        + live.count(caller.CallOutcome.NO_ANSWER),
+        answers_wrong=live.wrong_answers,
+        nonrepeatable_run_twice=sum(
+            key.startswith("sync") and count > 1 for key, count in runs.items()
+        ),
+        refused_not_run=len(not_run),
+        refused_but_ran=sum(runs.get(key, 0) > 0 for key in not_run),
+        trainer_idle_ms=trained.idle_ms,
+        engine_crashes=sum(e.crashes for e in small.engines),
+        key_value_calls=small.key_value.calls,
+    )
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,294 @@
+"""Stand-in of a model engine.
+
+Each token carries the weight version that truly produced it, so a check
+can compare labels with the truth: see `true_version`.
+"""
+
+import asyncio
+import collections
+from collections import abc
+import dataclasses
+import random
+
+import msgspec
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.protocol import engine
+from poplarloft.protocol import http
+from poplarloft import state
+from poplarloft.transport import http_client
+from standins import serving
+
+__all__ = ["EngineServer", "EngineTimes", "true_version"]
+
+TOKENS_PER_VERSION = 1_000_000
+POISON = "crash-the-engine"
+CHARS_PER_TOKEN = 4
+MS_PER_S = 1_000
+FEW_TOKENS = 4
+OK = 200
+
+
+def true_version(token: int) -> int:
+    """Return the weight version that produced a token."""
+    return token // TOKENS_PER_VERSION
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineTimes:
+    """The engine's time model.
+
+    Parameters
+    ----------
+    step_ms : float
+        Time of one decoding step of an empty batch.
+    step_per_stream_ms : float
+        What each stream of the batch adds to a step.
+    prefill_per_token_ms : float
+        Time per prompt token that is not cached.
+    preload_ms, switch_ms : int
+        Times of weight orders.
+    restart_ms : int
+        Time from a crash until the engine listens again.
+    chunk_tokens : int
+        Tokens per streamed line.
+    """
+
+    step_ms: float = 1.0
+    step_per_stream_ms: float = 0.02
+    prefill_per_token_ms: float = 0.05
+    preload_ms: int = 50
+    switch_ms: int = 50
+    restart_ms: int = 500
+    chunk_tokens: int = 8
+
+
+class EngineServer(serving.StandIn):
+    """Serves completions, state reports and weight orders.
+
+    Parameters
+    ----------
+    upstream : state.Upstream
+        Its entry in the instance list.
+    rng : random.Random
+        Draws lengths.
+    times : EngineTimes
+        The time model.
+    weight_version : int
+        The version served at the start.
+    max_streams : int
+        Streams in the batch; further ones wait.
+    sigma : float
+        Spread of the log-normal lengths.
+    weight_store : state.Address or None
+        Where versions are read from; None preloads by time alone.
+    """
+
+    def __init__(
+        self,
+        upstream: state.Upstream,
+        rng: random.Random,
+        times: EngineTimes | None = None,
+        weight_version: int = 0,
+        max_streams: int = 16,
+        sigma: float = 0.5,
+        weight_store: state.Address | None = None,
+    ) -> None:
+        super().__init__(rng)
+        self.upstream = upstream
+        self.times = times or EngineTimes()
+        self.weight_version: int | None = weight_version
+        self.loaded_version = weight_version
+        self.max_streams = max_streams
+        self.sigma = sigma
+        self.weight_store = weight_store
+        self.client = http_client.HttpClient()
+        self.clock = state.MonotonicClock()
+        self.slots = asyncio.Semaphore(max_streams)
+        self.preloaded: set[int] = {weight_version}
+        self.fence = 0
+        self.running = 0
+        self.owed_tokens = 0
+        self.cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.cache_blocks = 4_096
+        self.leaving = False
+        self.fail_next_swaps = 0
+        self.crashes = 0
+        self.prefilled_tokens = 0
+        self.produced_tokens = 0
+        self.on_restart: abc.Callable[[state.Upstream], None] = print
+
+    @property
+    def identity(self) -> str:
+        """Return name and incarnation, as every chunk carries them."""
+        upstream = self.upstream
+        return str(state.Incarnation(upstream.name, upstream.incarnation))
+
+    async def crash(self) -> None:
+        """End at once and come back as a new incarnation."""
+        self.crashes += 1
+        await self.stop()
+        await asyncio.sleep(self.times.restart_ms / MS_PER_S)
+        self.upstream = dataclasses.replace(
+            self.upstream, incarnation=self.upstream.incarnation + 1
+        )
+        self.slots = asyncio.Semaphore(self.max_streams)
+        self.running = self.owed_tokens = 0
+        self.cache.clear()
+        self.preloaded = {self.loaded_version}
+        self.weight_version = self.loaded_version
+        await self.start(self.address)
+        self.on_restart(self.upstream)
+
+    async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        """Answer a completion, a report or an order."""
+        match request.method, request.path:
+            case "POST", "/v1/completions":
+                return self._complete(request)
+            case "GET", "/v1/state":
+                return serving.json_answer(self._state())
+            case "POST", "/v1/orders":
+                order = serving.decode(request.body, engine.WeightOrder)
+                return serving.json_answer(await self._obey(order))
+            case "POST", "/control/crash":
+                asyncio.get_running_loop().create_task(self.crash())
+                return serving.json_answer({})
+        return http.HttpResponse(404)
+
+    def _complete(self, request: http.HttpRequest) -> http.HttpResponse:
+        if self.leaving:
+            headers = (
+                (http.NOT_EXECUTED_HEADER, "true"),
+                ("poplarloft-leaving", "true"),
+            )
+            return http.HttpResponse(503, headers)
+        wanted = serving.decode(request.body, engine.CompletionRequest)
+        if POISON in wanted.prompt:
+            asyncio.get_running_loop().create_task(self.crash())
+        return http.HttpResponse(
+            200,
+            (("content-type", "application/x-ndjson"),),
+            self._stream(wanted),
+        )
+
+    async def _stream(
+        self, wanted: engine.CompletionRequest
+    ) -> abc.AsyncIterator[bytes]:
+        length = self._length(wanted)
+        self.owed_tokens += length
+        left = length
+        try:
+            async with self.slots:
+                self.running += 1
+                try:
+                    await self._prefill(wanted.prompt)
+                    while left:
+                        count = min(left, self.times.chunk_tokens)
+                        await self._decode_steps(count)
+                        yield self._line(count)
+                        left -= count
+                        self.owed_tokens -= count
+                finally:
+                    self.running -= 1
+        finally:
+            self.owed_tokens -= left
+        yield msgspec.json.encode(engine.StreamLine(done=True)) + b"\n"
+
+    def _length(self, wanted: engine.CompletionRequest) -> int:
+        """Return a log-normal length that the seed decides."""
+        drawn = random.Random(wanted.seed).lognormvariate(0.0, self.sigma)
+        usual = max(FEW_TOKENS, wanted.max_tokens // FEW_TOKENS)
+        return max(1, min(wanted.max_tokens, int(usual * drawn)))
+
+    async def _prefill(self, prompt: str) -> None:
+        missing = 0
+        for block in coordination.prefix_blocks(prompt):
+            if block in self.cache:
+                self.cache.move_to_end(block)
+                continue
+            missing += coordination.BLOCK_CHARS // CHARS_PER_TOKEN
+            self.cache[block] = None
+        while len(self.cache) > self.cache_blocks:
+            self.cache.popitem(last=False)
+        self.prefilled_tokens += missing
+        delay_ms = missing * self.times.prefill_per_token_ms
+        await asyncio.sleep(delay_ms / MS_PER_S)
+
+    async def _decode_steps(self, count: int) -> None:
+        times = self.times
+        step_ms = times.step_ms + times.step_per_stream_ms * self.running
+        await asyncio.sleep(count * step_ms / MS_PER_S)
+
+    def _line(self, count: int) -> bytes:
+        base = self.loaded_version * TOKENS_PER_VERSION
+        tokens = [base + self.produced_tokens + i for i in range(count)]
+        tokens = [base + token % TOKENS_PER_VERSION for token in tokens]
+        self.produced_tokens += count
+        line = engine.StreamLine(
+            tokens=tokens,
+            weight_version=self.weight_version,
+            engine=self.identity,
+        )
+        return msgspec.json.encode(line) + b"\n"
+
+    def _state(self) -> engine.EngineState:
+        return engine.EngineState(
+            engine=self.identity,
+            age_ms=0,
+            running=self.running,
+            queued_tokens=self.owed_tokens,
+            weight_version=self.weight_version,
+            leaving=self.leaving,
+            cached_prefixes=list(self.cache)[-256:],
+            fence=self.fence,
+            preloaded=sorted(self.preloaded),
+        )
+
+    async def _obey(self, order: engine.WeightOrder) -> engine.OrderAnswer:
+        if self.upstream.honours_fence and order.fence < self.fence:
+            return engine.OrderAnswer(
+                accepted=False,
+                detail=f"fence {order.fence} is below {self.fence}",
+            )
+        self.fence = max(self.fence, order.fence)
+        if order.kind == coordination.OrderKind.PRELOAD:
+            return await self._preload(order.weight_version)
+        return await self._switch(order.weight_version)
+
+    async def _preload(self, weight_version: int) -> engine.OrderAnswer:
+        await asyncio.sleep(self.times.preload_ms / MS_PER_S)
+        if self.weight_store is not None:
+            sent = await self.client.send(
+                self.weight_store, "GET", f"/v1/weights/{weight_version}"
+            )
+            match sent:
+                case result.Success(answer):
+                    await answer.read()
+                    if answer.status != OK:
+                        return engine.OrderAnswer(
+                            accepted=False, detail="version not in store"
+                        )
+                case result.Failure(failure):
+                    return engine.OrderAnswer(
+                        accepted=False, detail=failure.detail
+                    )
+        self.preloaded.add(weight_version)
+        return engine.OrderAnswer(accepted=True)
+
+    async def _switch(self, weight_version: int) -> engine.OrderAnswer:
+        """Swap weights; streams see an uncertain version meanwhile."""
+        if weight_version not in self.preloaded:
+            return engine.OrderAnswer(accepted=False, detail="not preloaded")
+        self.weight_version = None
+        await asyncio.sleep(self.times.switch_ms / MS_PER_S)
+        if self.fail_next_swaps > 0:
+            self.fail_next_swaps -= 1
+            self.weight_version = self.loaded_version
+            return engine.OrderAnswer(accepted=False, detail="swap failed")
+        self.loaded_version = weight_version
+        self.weight_version = weight_version
+        self.preloaded = {weight_version}
+        return engine.OrderAnswer(accepted=True)
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,103 @@
+"""What all stand-ins share: serving, faults, JSON bodies."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+import msgspec
+
+from poplarloft.protocol import http
+from poplarloft import state
+from poplarloft.transport import http_server
+
+__all__ = ["AnswerLost", "Faults", "StandIn", "decode", "json_answer"]
+
+MAX_BODY_BYTES = 16_777_216
+MS_PER_S = 1_000
+Wanted = typing.TypeVar("Wanted")
+
+
+class AnswerLost(ConnectionError):
+    """Ends a connection after the effect, without an answer."""
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults that can be set while a stand-in runs.
+
+    Parameters
+    ----------
+    outage : bool
+        Answer 503 to everything, without effect.
+    slow_ms : int
+        Wait this long before each effect.
+    lose_answers : float
+        Fraction of effects whose answer is lost.
+    """
+
+    outage: bool = False
+    slow_ms: int = 0
+    lose_answers: float = 0.0
+
+
+class StandIn:
+    """A served stand-in; subclasses answer requests.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws which answers are lost.
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng or random.Random(0)
+        self.faults = Faults()
+        self.server: http_server.HttpServer | None = None
+        self.address = state.Address("127.0.0.1", 0)
+
+    async def start(self, address: state.Address | None = None) -> None:
+        """Listen on `address`, or on a free port of the loopback."""
+        self.server = http_server.HttpServer(
+            self.handle_with_faults,
+            http_server.ServerLimits(
+                max_head_bytes=65_536, idle_timeout_ms=600_000
+            ),
+            lambda path: MAX_BODY_BYTES,
+        )
+        self.address = await self.server.start(address or self.address)
+
+    async def stop(self) -> None:
+        """End at once; connections are cut."""
+        if self.server is not None:
+            await self.server.drain(0)
+
+    async def handle_with_faults(
+        self, request: http.HttpRequest
+    ) -> http.HttpResponse:
+        """Answer a request, or fail as the faults say."""
+        if request.path == "/control/faults":
+            self.faults = msgspec.json.decode(request.body, type=Faults)
+            return http.json_response(200, self.faults)
+        if self.faults.outage:
+            return http.HttpResponse(503)
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / MS_PER_S)
+        response = await self.handle(request)
+        if self.rng.random() < self.faults.lose_answers:
+            raise AnswerLost(request.path)
+        return response
+
+    async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        """Answer one request."""
+        raise NotImplementedError
+
+
+def json_answer(value: object) -> http.HttpResponse:
+    """Return a 200 answer with a JSON body."""
+    return http.json_response(200, value)
+
+
+def decode(data: bytes, wanted: type[Wanted]) -> Wanted:
+    """Return the JSON value in `data` as `wanted`."""
+    return msgspec.json.decode(data, type=wanted)
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,18 @@
+"""The main job, end to end in one process."""
+
+import asyncio
+
+from standins import demo
+
+
+def test_demo_keeps_every_promise():
+    report = asyncio.run(demo.run_demo(1, lambda line: None))
+    assert report.samples_delivered == report.samples_requested == 128
+    assert report.samples_duplicate == 0
+    assert report.samples_mislabelled == 0
+    assert report.samples_stale == 0
+    assert report.answers_cut == 0
+    assert report.answers_wrong == 0
+    assert report.nonrepeatable_run_twice == 0
+    assert report.refused_but_ran == 0
+    assert report.engine_crashes == 1
