Let daemons gossip: membership and dissemination

Cause: daemons did not know of each other; signs of leaving and new revisions reached each one only through the platform.

Change: SWIM with suspicion, refutation, local health and a last probe inside a data centre; two relays by rendezvous rank between them; one rumour store with digests by bucket; ZeroMQ sockets; the key-value head is watched by relays only.

--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -25,6 +25,8 @@
 from poplarloft.coordination.delivery import Offer
 from poplarloft.coordination.delivery import SampleBuffer
 from poplarloft.coordination.delivery import StepCollector
+from poplarloft.coordination.dissemination import DisseminationSettings
+from poplarloft.coordination.dissemination import RumourStore
 from poplarloft.coordination.histograms import HistogramKey
 from poplarloft.coordination.histograms import HistogramSet
 from poplarloft.coordination.histograms import HistogramSummary
@@ -37,6 +39,14 @@
 from poplarloft.coordination.lots import LotWaste
 from poplarloft.coordination.lots import run_ahead_steps
 from poplarloft.coordination.lots import ScoreSample
+from poplarloft.coordination.membership import Membership
+from poplarloft.coordination.membership import MembershipAction
+from poplarloft.coordination.membership import MembershipSettings
+from poplarloft.coordination.membership import SendAck
+from poplarloft.coordination.membership import SendDigest
+from poplarloft.coordination.membership import SendPing
+from poplarloft.coordination.membership import SendPingRequest
+from poplarloft.coordination.membership import SendRumours
 from poplarloft.coordination.pacing import TokenBucket
 from poplarloft.coordination.retries import AttemptPlan
 from poplarloft.coordination.retries import Failure
@@ -88,6 +98,7 @@
     "ClaimDecision",
     "ClaimSettings",
     "dispute",
+    "DisseminationSettings",
     "EngineReport",
     "Failure",
     "FailureKind",
@@ -107,6 +118,9 @@
     "LotAction",
     "LotRunner",
     "LotWaste",
+    "Membership",
+    "MembershipAction",
+    "MembershipSettings",
     "NoRedispatch",
     "Offer",
     "OrderKind",
@@ -125,12 +139,18 @@
     "RouteRequest",
     "ROUTING_POLICIES",
     "RoutingPolicy",
+    "RumourStore",
     "run_ahead_steps",
     "Running",
     "SampleBuffer",
     "ScoredTwoChoices",
     "ScoreSample",
+    "SendAck",
+    "SendDigest",
     "SendOrder",
+    "SendPing",
+    "SendPingRequest",
+    "SendRumours",
     "settle",
     "ShutdownPhase",
     "ShutdownPlan",
--- a/poplarloft/daemon/configuration.py
+++ b/poplarloft/daemon/configuration.py
@@ -50,6 +50,8 @@
         self.follower = coordination.HeadFollower()
         self.latest = state.Configuration()
         self.listeners: list[Listener] = []
+        self.may_watch = asyncio.Event()
+        self.may_watch.set()
         self.write_lock = asyncio.Lock()
         self.sequence = 0
         self.timer = tasks.WakeTimer(self._on_window_closed)
@@ -76,15 +78,27 @@
             listener(head)
         return True
 
+    async def read_once(self) -> None:
+        """Read the head document, for an instance that starts."""
+        read = await self.store.get(documents.HEAD_KEY)
+        match read:
+            case result.Success(versioned):
+                self.offer_bytes(versioned.value)
+
     async def watch(self) -> None:
-        """Follow the head document until cancelled."""
+        """Follow the head document until cancelled.
+
+        Only instances that `may_watch` call the key-value service; the
+        others learn new revisions from peers.
+        """
         version = state.ABSENT_VERSION
         while True:
+            await self.may_watch.wait()
             async for versioned in self.store.watch(
                 documents.HEAD_KEY, version
             ):
                 version = versioned.version
-                self._offer_bytes(versioned.value)
+                self.offer_bytes(versioned.value)
             await asyncio.sleep(RETRY_MS / MS_PER_S)
 
     async def change(
@@ -142,7 +156,14 @@
             )
         )
 
-    def _offer_bytes(self, data: bytes) -> None:
+    def encoded(self) -> bytes:
+        """Return the stored form of the newest known head."""
+        return documents.encode_head(self.latest)
+
+    def offer_bytes(self, data: bytes) -> None:
+        """Take the stored form of a head, which may be unreadable."""
+        if not data:
+            return
         try:
             self.offer(documents.decode_head(data))
         except errors.FieldError as error:
--- /dev/null
+++ b/poplarloft/daemon/fleet.py
@@ -0,0 +1,173 @@
+"""This instance's part in the fleet: gossip and requests to peers."""
+
+import asyncio
+from collections import abc
+
+import eliot
+import msgspec
+
+from poplarloft import coordination
+from poplarloft.daemon import tasks
+from poplarloft.protocol import errors
+from poplarloft.protocol import peers as messages
+from poplarloft import state
+from poplarloft.transport import peers
+
+__all__ = ["FleetService"]
+
+JOIN_RETRY_MS = 1_000
+MS_PER_S = 1_000
+
+RumourListener = abc.Callable[[state.Rumour], None]
+MessageHandler = abc.Callable[[str, messages.PeerMessage], None]
+
+
+class FleetService:
+    """Drives the membership over peer sockets.
+
+    Parameters
+    ----------
+    membership : coordination.Membership
+        Decides.
+    sockets : peers.PeerSockets
+        Bound sockets.
+    seeds : sequence of state.Address
+        Daemons to join, by peer address.
+    task_set : tasks.TaskSet
+        Runs the receiver.
+    """
+
+    def __init__(
+        self,
+        membership: coordination.Membership,
+        sockets: peers.PeerSockets,
+        seeds: abc.Sequence[state.Address],
+        task_set: tasks.TaskSet,
+    ) -> None:
+        self.membership = membership
+        self.sockets = sockets
+        self.seeds = list(seeds)
+        self.task_set = task_set
+        self.rumour_listeners: list[RumourListener] = []
+        self.member_listeners: list[abc.Callable[[], None]] = []
+        self.handlers: dict[type, MessageHandler] = {}
+        self.timer = tasks.WakeTimer(self._on_wake)
+
+    @property
+    def name(self) -> str:
+        """Return this instance's name."""
+        return self.membership.me.name
+
+    def start(self) -> None:
+        """Begin to receive, probe and join."""
+        self.task_set.spawn(self.sockets.run())
+        self.task_set.spawn(self._join())
+        self._on_wake()
+
+    def leave(self) -> None:
+        """Tell some members that this instance goes."""
+        self._perform(self.membership.leave())
+
+    def spread(self, rumour: state.Rumour) -> None:
+        """Put a rumour of this instance's own into the gossip."""
+        if self.membership.on_rumour(rumour):
+            self._tell(rumour)
+
+    def live_neighbours(self) -> list[str]:
+        """Return the live instances of this data centre, with this one."""
+        place = self.membership.me.place
+        return self.membership.live_in(place.data_centre)
+
+    def send(self, name: str, message: messages.PeerMessage) -> bool:
+        """Send a message to a member; tell whether its address is known."""
+        record = self.membership.members.get(name)
+        if record is None:
+            return False
+        self._send_to(record.peer_address, message, name)
+        return True
+
+    async def _join(self) -> None:
+        """Greet the seeds until some other member is known."""
+        while len(self.membership.live()) < 2 and self.seeds:
+            hello = coordination.SendRumours("", (self.membership.me,))
+            digest = coordination.SendDigest(
+                "", self.membership.store.digest()
+            )
+            for seed in self.seeds:
+                self._send_to(seed, hello)
+                self._send_to(seed, digest)
+            await asyncio.sleep(JOIN_RETRY_MS / MS_PER_S)
+
+    def _on_wake(self) -> None:
+        self._perform(self.membership.tick())
+        wake_ms = self.membership.next_wake_ms()
+        self.timer.set(wake_ms - self.membership.clock.now_ms())
+
+    def on_bytes(self, data: bytes) -> None:
+        """Take one message from a peer."""
+        try:
+            envelope = messages.decode_peer(data)
+        except (msgspec.MsgspecError, errors.ProtocolError) as error:
+            eliot.log_message("peer-message-unreadable", error=str(error))
+            return
+        self._take(envelope.sender, envelope.message)
+
+    def _take(self, sender: str, message: messages.PeerMessage) -> None:
+        membership = self.membership
+        match message:
+            case coordination.SendPing(_, sequence, behalf, rumours):
+                self._take_rumours(rumours)
+                self._perform(membership.on_ping(sender, sequence, behalf))
+            case coordination.SendAck(_, sequence, behalf, target, rumours):
+                self._take_rumours(rumours)
+                self._perform(membership.on_ack(sequence, behalf, target))
+            case coordination.SendPingRequest(_, target, sequence, rumours):
+                self._take_rumours(rumours)
+                self._perform(
+                    membership.on_ping_request(sender, target, sequence)
+                )
+            case coordination.SendDigest(_, digest, is_answer):
+                self._perform(membership.on_digest(sender, digest, is_answer))
+            case coordination.SendRumours(_, rumours):
+                self._take_rumours(rumours)
+            case _:
+                handler = self.handlers.get(type(message))
+                if handler is not None:
+                    handler(sender, message)
+
+    def _take_rumours(self, rumours: tuple[state.Rumour, ...]) -> None:
+        for rumour in rumours:
+            if self.membership.on_rumour(rumour):
+                self._tell(rumour)
+
+    def _tell(self, rumour: state.Rumour) -> None:
+        if isinstance(rumour, state.MemberRecord):
+            eliot.log_message(
+                "member",
+                member=rumour.name,
+                incarnation=rumour.incarnation,
+                status=rumour.status.name.lower(),
+            )
+            for member_listener in self.member_listeners:
+                member_listener()
+        for listener in self.rumour_listeners:
+            listener(rumour)
+
+    def _perform(self, actions: list[coordination.MembershipAction]) -> None:
+        for action in actions:
+            self.send(action.to, action)
+
+    def _send_to(
+        self,
+        address: state.Address,
+        message: messages.PeerMessage,
+        name: str = "",
+    ) -> None:
+        keys = self.sockets.keys
+        server_key = None
+        if keys is not None:
+            server_key = keys.server_keys.get(name or str(address))
+            if server_key is None:
+                return
+        data = messages.encode_peer(self.name, message)
+        self.sockets.send(address, data, server_key)
--- a/poplarloft/daemon/frontend.py
+++ b/poplarloft/daemon/frontend.py
@@ -73,7 +73,7 @@
             case "GET", ["histograms"]:
                 return http.json_response(200, self._histograms(owner))
             case "GET", ["config"]:
-                return self.operators.show()
+                return await self.operators.show()
             case "POST", ["config", "proposals"]:
                 return await self.operators.propose(owner, request)
             case "POST", ["config", "proposals", proposal_id, "accept"]:
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -9,6 +9,8 @@
 from poplarloft import coordination
 from poplarloft.daemon import claims
 from poplarloft.daemon import configuration
+from poplarloft.daemon import exchange
+from poplarloft.daemon import fleet
 from poplarloft.daemon import frontend
 from poplarloft.daemon import generation
 from poplarloft.daemon import operators
@@ -24,6 +26,7 @@
 from poplarloft.transport import http_server
 from poplarloft.transport import key_value
 from poplarloft.transport import metrics
+from poplarloft.transport import peers
 
 __all__ = ["Node"]
 
@@ -82,6 +85,9 @@
             self.task_set,
         )
         self.rollouts = self._make_rollouts()
+        self.store_of_rumours = coordination.RumourStore()
+        self.sockets = peers.PeerSockets(self._on_peer_bytes)
+        self.fleet: fleet.FleetService | None = None
         self.stop_requested = asyncio.Event()
         self.frontend = frontend.Frontend(
             self,
@@ -102,13 +108,15 @@
 
     async def start(self) -> state.Address:
         """Start all parts; return the address that was bound."""
+        listen = addresses.parse_address(self.settings.listen)
+        self.address = await self.server.start(listen)
+        self.fleet = self._join_fleet(self.address)
         await self.upstreams.poll_list()
         await self.upstreams.poll_engines()
+        await self.configuration.read_once()
         self.task_set.spawn(self.configuration.watch())
         self.task_set.spawn(self.upstreams.run())
         self.task_set.spawn(self.weights.run())
-        listen = addresses.parse_address(self.settings.listen)
-        self.address = await self.server.start(listen)
         eliot.log_message(
             "started",
             incarnation=str(self.incarnation),
@@ -122,8 +130,11 @@
         eliot.log_message("shutdown-begun")
         await asyncio.sleep(self.shutdown.notice_left_ms() / MS_PER_S)
         self.rollouts.stop()
+        if self.fleet is not None:
+            self.fleet.leave()
         cut = await self.server.drain(self.settings.drain_timeout_ms)
         await self.task_set.cancel_all()
+        self.sockets.close()
         self.client.close()
         eliot.log_message("stopped", cut=cut)
 
@@ -132,8 +143,48 @@
         self.server.stop_listening()
         await self.server.drain(0)
         await self.task_set.cancel_all()
+        self.sockets.close()
         self.client.close()
 
+    def _join_fleet(self, address: state.Address) -> fleet.FleetService:
+        settings = self.settings
+        bound = self.sockets.bind(
+            addresses.parse_address(settings.peer_listen)
+        )
+        if settings.peer_advertise is not None:
+            bound = addresses.parse_address(settings.peer_advertise)
+        me = state.MemberRecord(
+            settings.name,
+            self.incarnation.number,
+            0,
+            state.MemberStatus.ALIVE,
+            bound,
+            address,
+            self.place,
+        )
+        membership = coordination.Membership(
+            self.clock,
+            self.rng,
+            me,
+            self.store_of_rumours,
+            coordination.MembershipSettings(
+                interval_ms=settings.gossip_interval_ms
+            ),
+        )
+        seeds = [addresses.parse_address(seed) for seed in settings.seeds]
+        joined = fleet.FleetService(
+            membership, self.sockets, seeds, self.task_set
+        )
+        self.exchange = exchange.Exchange(
+            joined, self.configuration, self.upstreams
+        )
+        joined.start()
+        return joined
+
+    def _on_peer_bytes(self, data: bytes) -> None:
+        if self.fleet is not None:
+            self.fleet.on_bytes(data)
+
     def _make_upstreams(self) -> upstreams.UpstreamService:
         settings = self.settings
         return upstreams.UpstreamService(
--- a/poplarloft/daemon/operators.py
+++ b/poplarloft/daemon/operators.py
@@ -45,8 +45,9 @@
             return None
         return credentials.find_operator(self.service.latest, headers.token)
 
-    def show(self) -> http.HttpResponse:
-        """Return the configuration with its proposals."""
+    async def show(self) -> http.HttpResponse:
+        """Return the configuration with its newest proposals."""
+        await self.service.read_once()
         return http.HttpResponse(
             200,
             (("content-type", "application/json"),),
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -50,6 +50,10 @@
 from poplarloft.protocol.operators import proposal_status
 from poplarloft.protocol.operators import ProposalStatus
 from poplarloft.protocol.operators import UpstreamRow
+from poplarloft.protocol.peers import decode_peer
+from poplarloft.protocol.peers import encode_peer
+from poplarloft.protocol.peers import Envelope
+from poplarloft.protocol.peers import PeerMessage
 from poplarloft.protocol.platform import decode_instances
 from poplarloft.protocol.platform import decode_key_value
 from poplarloft.protocol.platform import decode_lease
@@ -83,6 +87,7 @@
     "decode_lease",
     "decode_ledger",
     "decode_order_answer",
+    "decode_peer",
     "decode_pull_answer",
     "decode_pull_request",
     "decode_reason",
@@ -94,9 +99,11 @@
     "encode_head",
     "encode_instances",
     "encode_ledger",
+    "encode_peer",
     "encode_pull_answer",
     "encode_pull_request",
     "EngineState",
+    "Envelope",
     "FieldError",
     "find_caller",
     "find_operator",
@@ -120,6 +127,7 @@
     "parse_address",
     "parse_caller_headers",
     "parse_window_ms",
+    "PeerMessage",
     "problem_response",
     "proposal_id",
     "proposal_status",
--- a/poplarloft/protocol/settings.py
+++ b/poplarloft/protocol/settings.py
@@ -147,7 +147,7 @@
         description="Time between polls of the platform and engines, in ms",
     )
     gossip_interval_ms: int = pydantic.Field(
-        default=500,
+        default=200,
         ge=10,
         le=60_000,
         description="Time between probes of other daemons, in ms",
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -28,9 +28,21 @@
 from poplarloft.state.identity import Address
 from poplarloft.state.identity import Incarnation
 from poplarloft.state.identity import Place
+from poplarloft.state.membership import MemberRecord
+from poplarloft.state.membership import MemberStatus
+from poplarloft.state.peers import ClaimAnswer
+from poplarloft.state.peers import ClaimRequest
+from poplarloft.state.peers import HeadAnswer
+from poplarloft.state.peers import HeadRequest
 from poplarloft.state.ports import InstanceList
 from poplarloft.state.ports import KeyValueStore
 from poplarloft.state.ports import Metrics
+from poplarloft.state.rumours import HeadRumour
+from poplarloft.state.rumours import LeavingRumour
+from poplarloft.state.rumours import QuarantineRumour
+from poplarloft.state.rumours import Rumour
+from poplarloft.state.rumours import StrikeRumour
+from poplarloft.state.rumours import UsageRumour
 from poplarloft.state.samples import Chunk
 from poplarloft.state.samples import Holdings
 from poplarloft.state.samples import Sample
@@ -50,38 +62,50 @@
     "Body",
     "Chunk",
     "Claim",
+    "ClaimAnswer",
     "ClaimKey",
+    "ClaimRequest",
     "Clock",
     "Configuration",
     "Document",
     "DocumentKind",
+    "HeadAnswer",
+    "HeadRequest",
+    "HeadRumour",
     "Holdings",
     "Incarnation",
     "InstanceList",
     "KeyValueStore",
     "Lease",
+    "LeavingRumour",
     "Ledger",
     "LedgerId",
     "LoadReport",
     "LotBody",
     "ManualClock",
     "Mark",
+    "MemberRecord",
+    "MemberStatus",
     "Metrics",
     "MonotonicClock",
     "OwnerBody",
     "Place",
     "Proposal",
     "ProposalState",
+    "QuarantineRumour",
     "Reason",
     "Refusal",
     "ReleaseBody",
     "RouteBody",
+    "Rumour",
     "Sample",
     "Slot",
     "Span",
+    "StrikeRumour",
     "Upstream",
     "UpstreamKind",
     "UpstreamStatus",
+    "UsageRumour",
     "Verdict",
     "Versioned",
     "WallClock",
--- a/poplarloft/transport/__init__.py
+++ b/poplarloft/transport/__init__.py
@@ -9,13 +9,17 @@
 from poplarloft.transport.key_value import HttpKeyValueStore
 from poplarloft.transport.metrics import NoMetrics
 from poplarloft.transport.metrics import StatsdMetrics
+from poplarloft.transport.peers import CurveKeys
+from poplarloft.transport.peers import PeerSockets
 
 __all__ = [
     "AnswerCut",
+    "CurveKeys",
     "HttpClient",
     "HttpKeyValueStore",
     "HttpServer",
     "NoMetrics",
+    "PeerSockets",
     "ServerLimits",
     "StatsdMetrics",
     "TransportFailure",
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -117,6 +117,11 @@
             "instance_list": str(self.instances.address),
             "poll_interval_ms": 100,
             "drain_notice_ms": 100,
+            "seeds": [
+                str(running.fleet.membership.me.peer_address)
+                for running in self.nodes[:2]
+                if running.fleet is not None
+            ],
         }
         return settings.DaemonSettings.model_validate({**values, **changes})
 
