Know of crashes sooner, spread rumours evenly

Cause: a crash took up to 3.8 s to be known, since each failed probe of the dead member raised the observers' own health score and so their timeouts; the last probe waited as long as a usual one.

Change: the score rises only if nobody else suspects the target; the last probe goes out directly and through others at once; relays keep a queue for each other data centre.

--- a/poplarloft/coordination/membership.py
+++ b/poplarloft/coordination/membership.py
@@ -24,6 +24,8 @@
 ]
 
 OTHER_THAN_RELAY = 0.2
+# Usage is flushed within its data centre, so it stays there.
+LOCAL_TOPICS = frozenset({"usage"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,12 +40,18 @@
         Wait for a direct answer before others are asked to probe.
     probe_timeout_ms : int
         Wait for any answer before the target is suspected.
+    last_timeout_ms : int
+        Wait for an answer to the last probe of a suspect.
     suspicion_ms : int
         Time in which a suspect may refute.
     indirect : int
         Members asked to probe on one's behalf.
     digest_every : int
         Probes between two digests.
+    centres_per_round : int
+        Other data centres that a relay sends news to per probe.
+    news_at_once : int
+        Rumours in one message between data centres.
     relays : int
         Members of a data centre that talk to other data centres.
     max_health : int
@@ -53,11 +61,14 @@
     """
 
     interval_ms: int = 200
-    direct_timeout_ms: int = 150
-    probe_timeout_ms: int = 350
-    suspicion_ms: int = 1_900
+    direct_timeout_ms: int = 100
+    probe_timeout_ms: int = 250
+    last_timeout_ms: int = 150
+    suspicion_ms: int = 1_850
     indirect: int = 3
     digest_every: int = 10
+    centres_per_round: int = 3
+    news_at_once: int = 32
     relays: int = 2
     max_health: int = 4
     forget_ms: int = 900_000
@@ -163,6 +174,7 @@
         self.sequence = 0
         self.round = 0
         self.order: list[str] = []
+        self.remote_queues: dict[str, dict[tuple[str, str], None]] = {}
         self.next_probe_ms = clock.now_ms()
         self.ticked_at_ms = clock.now_ms()
         store.put(me)
@@ -222,7 +234,7 @@
         """Take a rumour; tell whether it was news."""
         if isinstance(rumour, state.MemberRecord):
             return self._on_record(rumour)
-        return self.store.put(rumour)
+        return self._keep(rumour)
 
     def on_ping(
         self, sender: str, sequence: int, on_behalf_of: str
@@ -280,11 +292,20 @@
             return False
         if known is not None and known.order >= record.order:
             return False
-        self.store.put(record)
         self.members[record.name] = record
+        self._keep(record)
         self._note_status(record)
         return True
 
+    def _keep(self, rumour: state.Rumour) -> bool:
+        """Keep a rumour; as a relay, queue it for other data centres."""
+        if not self.store.put(rumour):
+            return False
+        if rumour.key[0] not in LOCAL_TOPICS and self.is_relay():
+            for centre in self._other_centres():
+                self.remote_queues.setdefault(centre, {})[rumour.key] = None
+        return True
+
     def _note_status(self, record: state.MemberRecord) -> None:
         now_ms = self.clock.now_ms()
         if record.status is state.MemberStatus.SUSPECT:
@@ -315,7 +336,7 @@
     def _restate(self, status: state.MemberStatus) -> None:
         self.me = dataclasses.replace(self.me, status=status)
         self.members[self.me.name] = self.me
-        self.store.put(self.me)
+        self._keep(self.me)
 
     def _state_of(self, name: str, status: state.MemberStatus) -> None:
         """Make a statement about another member."""
@@ -337,6 +358,8 @@
 
     def _deadline_ms(self, probe: _Probe) -> int:
         settings = self.settings
+        if probe.is_last:
+            return probe.sent_at_ms + settings.last_timeout_ms
         wait_ms = settings.probe_timeout_ms
         if not probe.indirect_sent:
             wait_ms = settings.direct_timeout_ms
@@ -368,8 +391,9 @@
             if record.status is state.MemberStatus.SUSPECT:
                 self._state_of(probe.target, state.MemberStatus.DEAD)
             return
-        self.health = min(self.settings.max_health, self.health + 1)
         if record.status is state.MemberStatus.ALIVE:
+            # Nobody else suspects it, so the fault may be this member's.
+            self.health = min(self.settings.max_health, self.health + 1)
             self._state_of(probe.target, state.MemberStatus.SUSPECT)
 
     def _probe_indirectly(self, probe: _Probe) -> list[MembershipAction]:
@@ -392,9 +416,16 @@
                 continue
             del self.suspected_at_ms[name]
             if self._is_neighbour(self.members[name]):
-                actions.append(self._probe(name, is_last=True))
+                actions += self._probe_last(name)
         return actions
 
+    def _probe_last(self, name: str) -> list[MembershipAction]:
+        """Probe a suspect directly and through others at once."""
+        ping = self._probe(name, is_last=True)
+        probe = self.probes[ping.sequence]
+        probe.indirect_sent = True
+        return [ping, *self._probe_indirectly(probe)]
+
     def _begin_round(self) -> list[MembershipAction]:
         self.next_probe_ms = self.clock.now_ms() + self.settings.interval_ms
         self.round += 1
@@ -466,24 +497,40 @@
         return (record, *others)
 
     def _talk_to_other_data_centres(self) -> list[MembershipAction]:
-        """As a relay, send rumours to one other data centre in turn."""
+        """As a relay, pass news on to other data centres.
+
+        A few centres with news are served per round, so that the load
+        doesn't grow with the fleet; digests mend what gets lost.
+        """
         if not self.is_relay():
+            self.remote_queues.clear()
             return []
-        centres = sorted(
-            {m.place.data_centre for m in self.members.values()}
-            - {self.me.place.data_centre}
-        )
-        if not centres:
-            return []
-        centre = centres[self.round % len(centres)]
+        actions: list[MembershipAction] = []
+        with_news = sorted(c for c, keys in self.remote_queues.items() if keys)
+        self.rng.shuffle(with_news)
+        for centre in with_news[: self.settings.centres_per_round]:
+            actions += self._send_news(centre)
+        centres = self._other_centres()
+        if centres and self.round % self.settings.digest_every == 0:
+            target = self._remote_target(self.rng.choice(centres))
+            if target is not None:
+                actions.append(SendDigest(target, self.store.digest()))
+        return actions
+
+    def _send_news(self, centre: str) -> list[MembershipAction]:
         target = self._remote_target(centre)
         if target is None:
             return []
-        rumours = tuple(self.store.select(len(self.members)))
-        passes = self.round // len(centres)
-        if passes % self.settings.digest_every == 0 or not rumours:
-            return [SendDigest(target, self.store.digest())]
-        return [SendRumours(target, rumours)]
+        keys = list(self.remote_queues[centre])[: self.settings.news_at_once]
+        for key in keys:
+            del self.remote_queues[centre][key]
+        found = [self.store.get(key) for key in keys]
+        news = tuple(rumour for rumour in found if rumour is not None)
+        return [SendRumours(target, news)]
+
+    def _other_centres(self) -> list[str]:
+        centres = {m.place.data_centre for m in self.members.values()}
+        return sorted(centres - {self.me.place.data_centre})
 
     def _remote_target(self, data_centre: str) -> str | None:
         """Return a relay; now and then another, if the relays are gone."""
