Share claims between daemons of a data centre

Cause: each daemon wrote shared ledgers on its own, so all but one write of a moment conflicted.

Change: a daemon asks the shard's instance, chosen by rendezvous among the live ones, and claims for itself with the same attempt number if no answer comes. An experiment counts calls and latency of three ways.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import importlib
 import json
 
-EXPERIMENTS = ("membership",)
+EXPERIMENTS = ("claims", "membership")
 
 
 def main() -> None:
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -2,6 +2,7 @@
 
 from poplarloft.coordination.answers import AnswerCache
 from poplarloft.coordination.answers import RecordedAnswer
+from poplarloft.coordination.claims import claim_owner
 from poplarloft.coordination.claims import ClaimAction
 from poplarloft.coordination.claims import ClaimBook
 from poplarloft.coordination.claims import ClaimDecided
@@ -92,6 +93,7 @@
     "Candidate",
     "Change",
     "ChangeResult",
+    "claim_owner",
     "ClaimAction",
     "ClaimBook",
     "ClaimDecided",
--- a/poplarloft/coordination/claims.py
+++ b/poplarloft/coordination/claims.py
@@ -10,12 +10,14 @@
 claimed again.
 """
 
+from collections import abc
 import dataclasses
 import enum
 
 import xxhash
 
 from poplarloft.coordination import pacing
+from poplarloft.coordination import routing
 from poplarloft import state
 
 __all__ = [
@@ -26,6 +28,7 @@
     "ClaimSettings",
     "ReadLedger",
     "WriteLedger",
+    "claim_owner",
 ]
 
 
@@ -140,6 +143,17 @@
         return bool(self.waiting or self.releases)
 
 
+def claim_owner(shard: int, instances: abc.Iterable[str]) -> str | None:
+    """Return the instance that writes a shard's ledgers.
+
+    All instances of a data centre that agree on its members agree on the
+    owner, so their claims share its writes. Disagreement costs calls, not
+    safety.
+    """
+    ranked = routing.rendezvous_rank(f"claims/{shard}", instances)
+    return ranked[0] if ranked else None
+
+
 class ClaimBook:
     """Decides claims of non-repeatable requests.
 
--- a/poplarloft/daemon/claims.py
+++ b/poplarloft/daemon/claims.py
@@ -8,13 +8,17 @@
 from returns import result
 
 from poplarloft import coordination
+from poplarloft.daemon import fleet
 from poplarloft.daemon import tasks
 from poplarloft.protocol import ledgers
+from poplarloft.protocol import peers as messages
 from poplarloft import state
 
 __all__ = ["ClaimOutcome", "ClaimService"]
 
 ATTEMPT_BITS = 63
+ASK_TIMEOUT_MS = 1_000
+MS_PER_S = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,8 +32,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Waiting:
+    """Who waits: a request of this instance, or a neighbour by name."""
+
     key: state.ClaimKey
-    future: asyncio.Future[ClaimOutcome]
+    asker: asyncio.Future[ClaimOutcome] | str
 
 
 class ClaimService:
@@ -61,6 +67,8 @@
         self.rng = rng
         self.task_set = task_set
         self.waiting: dict[int, _Waiting] = {}
+        self.asked: dict[int, asyncio.Future[ClaimOutcome]] = {}
+        self.fleet: fleet.FleetService | None = None
         self.timer = tasks.WakeTimer(self._on_wake)
 
     async def claim(
@@ -68,6 +76,41 @@
     ) -> ClaimOutcome:
         """Claim `key`; the outcome tells who holds it."""
         attempt = self.rng.getrandbits(ATTEMPT_BITS)
+        owner = self._shard_owner(key)
+        if owner is not None:
+            request = state.ClaimRequest(
+                key, attempt, self.claimant, timeout_ms
+            )
+            asked = await self._ask(owner, request)
+            if asked is not None:
+                return asked
+        return await self._claim_here(key, attempt, timeout_ms)
+
+    async def _ask(
+        self, owner: str, request: state.ClaimRequest
+    ) -> ClaimOutcome | None:
+        """Let the shard's instance claim; None if it doesn't answer.
+
+        Asking here again with the same attempt number is safe: the
+        ledger grants an attempt once, whoever writes it.
+        """
+        assert self.fleet is not None
+        future = asyncio.get_running_loop().create_future()
+        self.asked[request.attempt] = future
+        try:
+            if not self.fleet.send(owner, request):
+                return None
+            async with asyncio.timeout(ASK_TIMEOUT_MS / MS_PER_S):
+                outcome: ClaimOutcome = await future
+                return outcome
+        except TimeoutError:
+            return None
+        finally:
+            del self.asked[request.attempt]
+
+    async def _claim_here(
+        self, key: state.ClaimKey, attempt: int, timeout_ms: int
+    ) -> ClaimOutcome:
         future = asyncio.get_running_loop().create_future()
         self.waiting[attempt] = _Waiting(key, future)
         claim = state.Claim(attempt, self.claimant)
@@ -75,6 +118,43 @@
         outcome: ClaimOutcome = await future
         return outcome
 
+    def join(self, fleet_service: fleet.FleetService) -> None:
+        """Share the claiming with the other instances."""
+        self.fleet = fleet_service
+        fleet_service.handlers[state.ClaimRequest] = self._on_request
+        fleet_service.handlers[state.ClaimAnswer] = self._on_answer
+
+    def _shard_owner(self, key: state.ClaimKey) -> str | None:
+        """Return the other instance that claims for `key`, if any."""
+        if self.fleet is None:
+            return None
+        shard = self.book.ledger_id(key).shard
+        owner = coordination.claim_owner(shard, self.fleet.live_neighbours())
+        return None if owner == self.fleet.name else owner
+
+    def _on_request(self, sender: str, message: messages.PeerMessage) -> None:
+        """Claim for a neighbour and tell it the decision."""
+        assert isinstance(message, state.ClaimRequest)
+        if message.attempt in self.waiting:
+            return
+        claim = state.Claim(message.attempt, message.claimant)
+        self.waiting[message.attempt] = _Waiting(message.key, sender)
+        self._perform(
+            self.book.request(message.key, claim, message.timeout_ms)
+        )
+
+    def _on_answer(self, sender: str, message: messages.PeerMessage) -> None:
+        assert isinstance(message, state.ClaimAnswer)
+        future = self.asked.get(message.attempt)
+        if future is not None and not future.done():
+            future.set_result(
+                ClaimOutcome(
+                    message.attempt,
+                    coordination.ClaimDecision(message.decision),
+                    message.holder,
+                )
+            )
+
     def release(self, key: state.ClaimKey, attempt: int) -> None:
         """Give back a claim whose request has not run."""
         self._perform(self.book.release(key, attempt))
@@ -100,8 +180,14 @@
         outcome = ClaimOutcome(
             decided.attempt, decided.decision, decided.holder
         )
-        if not waiting.future.done():
-            waiting.future.set_result(outcome)
+        if isinstance(waiting.asker, str):
+            answer = state.ClaimAnswer(
+                decided.attempt, decided.decision.value, decided.holder
+            )
+            assert self.fleet is not None
+            self.fleet.send(waiting.asker, answer)
+        elif not waiting.asker.done():
+            waiting.asker.set_result(outcome)
         elif decided.decision is coordination.ClaimDecision.GRANTED:
             # The caller has gone, so nothing will run under this claim.
             self.release(waiting.key, decided.attempt)
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -178,6 +178,7 @@
         self.exchange = exchange.Exchange(
             joined, self.configuration, self.upstreams
         )
+        self.claims.join(joined)
         joined.start()
         return joined
 
