Admit fairly, eject, and quarantine poison requests

Cause: a greedy owner, an overload, a failing upstream or a request that crashes engines reached everybody.

Change: admission by weighted fair queueing in engine time with early refusal; owners' rates split over the fleet; ejection with probes; poison guard with strikes, placement of suspects, absolution and release. The dispatcher moves out of the relay. Experiments for admission and poison with baselines. Causes found on the way: deadlines judged by the mean cost alone; suspects of different daemons sharing an engine; strikes slower than an instant resend; old suspects reserving engines.

Hedging and splitting limits by demand are not built.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import importlib
 import json
 
-EXPERIMENTS = ("claims", "membership")
+EXPERIMENTS = ("admission", "claims", "membership", "poison")
 
 
 def main() -> None:
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -1,5 +1,13 @@
 """Decisions only: events in, typed actions out, no input or output."""
 
+from poplarloft.coordination.admission import Admission
+from poplarloft.coordination.admission import AdmissionDecision
+from poplarloft.coordination.admission import AdmissionSettings
+from poplarloft.coordination.admission import Admitted
+from poplarloft.coordination.admission import CostEstimate
+from poplarloft.coordination.admission import fleet_part
+from poplarloft.coordination.admission import RateLimits
+from poplarloft.coordination.admission import Refused
 from poplarloft.coordination.answers import AnswerCache
 from poplarloft.coordination.answers import RecordedAnswer
 from poplarloft.coordination.claims import claim_owner
@@ -28,6 +36,8 @@
 from poplarloft.coordination.delivery import StepCollector
 from poplarloft.coordination.dissemination import DisseminationSettings
 from poplarloft.coordination.dissemination import RumourStore
+from poplarloft.coordination.health import HealthBook
+from poplarloft.coordination.health import HealthSettings
 from poplarloft.coordination.histograms import HistogramKey
 from poplarloft.coordination.histograms import HistogramSet
 from poplarloft.coordination.histograms import HistogramSummary
@@ -49,6 +59,9 @@
 from poplarloft.coordination.membership import SendPingRequest
 from poplarloft.coordination.membership import SendRumours
 from poplarloft.coordination.pacing import TokenBucket
+from poplarloft.coordination.poison import PoisonGuard
+from poplarloft.coordination.poison import PoisonSettings
+from poplarloft.coordination.poison import Standing
 from poplarloft.coordination.retries import AttemptPlan
 from poplarloft.coordination.retries import Failure
 from poplarloft.coordination.retries import FailureKind
@@ -86,6 +99,10 @@
 
 __all__ = [
     "accept",
+    "Admission",
+    "AdmissionDecision",
+    "AdmissionSettings",
+    "Admitted",
     "AnswerCache",
     "AttemptPlan",
     "BLOCK_CHARS",
@@ -99,15 +116,19 @@
     "ClaimDecided",
     "ClaimDecision",
     "ClaimSettings",
+    "CostEstimate",
     "dispute",
     "DisseminationSettings",
     "EngineReport",
     "Failure",
     "FailureKind",
+    "fleet_part",
     "GenerateSample",
     "GiveUp",
     "HeadFollower",
     "HeadWriter",
+    "HealthBook",
+    "HealthSettings",
     "HistogramKey",
     "HistogramSet",
     "HistogramSummary",
@@ -126,15 +147,19 @@
     "NoRedispatch",
     "Offer",
     "OrderKind",
+    "PoisonGuard",
+    "PoisonSettings",
     "prefix_blocks",
     "Prices",
     "propose",
     "QuantileRedispatch",
     "RandomChoice",
+    "RateLimits",
     "ReadHead",
     "ReadLedger",
     "RecordedAnswer",
     "RedispatchPolicy",
+    "Refused",
     "rendezvous_rank",
     "RetryBudget",
     "RoundRobin",
@@ -157,6 +182,7 @@
     "ShutdownPhase",
     "ShutdownPlan",
     "SignSource",
+    "Standing",
     "StepCollector",
     "TokenBucket",
     "TryAgain",
--- /dev/null
+++ b/poplarloft/coordination/tests/test_requests.py
@@ -0,0 +1,283 @@
+"""Retries, health, poison and admission, decision by decision."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from poplarloft import coordination
+from poplarloft import state
+
+Kind = coordination.FailureKind
+NOT_RUN, MAY = state.Verdict.NOT_RUN, state.Verdict.MAY_HAVE_RUN
+
+
+# Each row of the table in docs/operators/retries.md.
+@pytest.mark.parametrize(
+    "kind, verdict, repeats_unsafe",
+    [
+        (Kind.CONNECT_REFUSED, NOT_RUN, True),
+        (Kind.CONNECT_TIMEOUT, NOT_RUN, True),
+        (Kind.RESET_BEFORE_SEND, NOT_RUN, True),
+        (Kind.REFUSED_WITH_PROOF, NOT_RUN, True),
+        (Kind.REFUSED_WITHOUT_PROOF, MAY, False),
+        (Kind.RESET_AFTER_SEND, MAY, False),
+        (Kind.HALF_ANSWER, MAY, False),
+        (Kind.TIMEOUT, MAY, False),
+        (Kind.MALFORMED_ANSWER, MAY, False),
+    ],
+)
+def test_verdicts_and_what_a_non_repeatable_request_does(
+    kind, verdict, repeats_unsafe
+):
+    assert coordination.verdict_of(kind) is verdict
+    plan = _plan(state.ManualClock(), repeatable=False)
+    decision = plan.on_failure(coordination.Failure("a", kind))
+    assert isinstance(decision, coordination.TryAgain) is repeats_unsafe
+
+
+def _plan(clock, repeatable, budget=None, attempts=3):
+    budget = budget or coordination.RetryBudget(clock)
+    return coordination.AttemptPlan(clock, budget, repeatable, 5_000, attempts)
+
+
+@hypothesis.given(
+    kinds=strategies.lists(
+        strategies.sampled_from(Kind), min_size=1, max_size=5
+    ),
+    repeatable=strategies.booleans(),
+)
+def test_a_refusal_says_not_run_only_if_no_attempt_may_have(kinds, repeatable):
+    plan = _plan(state.ManualClock(), repeatable, attempts=9)
+    for kind in kinds:
+        decision = plan.on_failure(coordination.Failure("a", kind))
+        if isinstance(decision, coordination.GiveUp):
+            break
+    refusal = plan.on_no_upstream("app").refusal
+    made = [coordination.verdict_of(f.kind) for f in plan.failures]
+    assert (refusal.verdict is NOT_RUN) == (set(made) == {NOT_RUN})
+    if not repeatable:
+        assert MAY not in made[:-1]
+
+
+def test_attempts_stay_near_arrivals_in_a_total_outage():
+    clock = state.ManualClock()
+    budget = coordination.RetryBudget(clock)
+    attempts = 0
+    for _ in range(1_000):
+        plan = _plan(clock, True, budget)
+        decision = coordination.TryAgain(frozenset())
+        while isinstance(decision, coordination.TryAgain):
+            attempts += 1
+            failure = coordination.Failure("a", Kind.CONNECT_REFUSED)
+            decision = plan.on_failure(failure)
+    assert attempts <= 1.1 * 1_000
+
+
+def test_no_attempt_starts_after_the_deadline():
+    clock = state.ManualClock()
+    plan = _plan(clock, True)
+    clock.advance(5_000)
+    decision = plan.on_failure(coordination.Failure("a", Kind.TIMEOUT))
+    assert decision.refusal.reason is state.Reason.DEADLINE
+
+
+def test_at_most_half_of_the_upstreams_are_ejected():
+    clock = state.ManualClock()
+    book = coordination.HealthBook(clock)
+    names = ["a", "b", "c", "d"]
+    for name in names:
+        for _ in range(3):
+            book.on_failure(name)
+    assert len(book.usable(names)) == 2
+    book.on_success("a")
+    assert "a" in book.usable(names)
+
+
+def test_ejected_upstream_gets_one_probe_after_its_time():
+    clock = state.ManualClock()
+    book = coordination.HealthBook(clock)
+    for _ in range(3):
+        book.on_failure("a")
+    assert book.usable(["a", "b"]) == ["b"]
+    clock.advance(1_000)
+    assert book.usable(["a", "b"]) == ["a", "b"]
+    book.on_chosen("a")
+    assert book.usable(["a", "b"]) == ["b"]
+    book.on_failure("a")
+    clock.advance(1_000)
+    assert book.usable(["a", "b"]) == ["b"]
+    clock.advance(1_000)
+    assert book.usable(["a", "b"]) == ["a", "b"]
+
+
+def _guard(name="entry-1"):
+    clock = state.ManualClock(1_000)
+    return coordination.PoisonGuard(clock, clock, name), clock
+
+
+def _crash(guard, upstream, *fingerprints):
+    for fingerprint in fingerprints:
+        guard.on_dispatch(upstream, 1, fingerprint)
+    guard.on_reset(upstream, 1)
+    return guard.on_crash(upstream, 1)
+
+
+def test_a_crash_strikes_each_request_once():
+    guard, _ = _guard()
+    rumours = _crash(guard, "e1", "f1", "f2")
+    assert len(rumours) == 2
+    assert guard.on_crash("e1", 1) == []
+    assert guard.standing("f1") is coordination.Standing.SUSPECT
+
+
+def test_suspects_get_upstreams_of_their_own_at_all_instances():
+    first, _ = _guard("entry-1")
+    second, _ = _guard("entry-2")
+    for rumour in _crash(first, "e1", "f1", "f2", "f3"):
+        second.on_rumour(rumour)
+    engines = ["e2", "e3", "e4"]
+    places = [first.placement(f, engines) for f in ("f1", "f2", "f3")]
+    assert sorted(places) == engines
+    assert [second.placement(f, engines) for f in ("f1", "f2", "f3")] == places
+    assert first.placement("f3", ["e2", "e3"]) is None
+
+
+def test_two_crashes_as_only_suspect_quarantine_until_released():
+    guard, clock = _guard()
+    _crash(guard, "e1", "f1", "f2")
+    _crash(guard, "e2", "f1")
+    _crash(guard, "e3", "f1")
+    assert guard.standing("f1") is coordination.Standing.QUARANTINED
+    assert guard.standing("f2") is coordination.Standing.SUSPECT
+    guard.release("f1")
+    assert guard.standing("f1") is coordination.Standing.CLEAR
+
+
+def test_a_suspect_that_runs_whole_is_absolved():
+    guard, clock = _guard()
+    _crash(guard, "e1", "f1", "f2")
+    (rumour,) = guard.on_whole("f2")
+    assert isinstance(rumour, state.AbsolvedRumour)
+    assert guard.standing("f2") is coordination.Standing.CLEAR
+    assert guard.standing("f1") is coordination.Standing.SUSPECT
+
+
+def test_a_lost_connection_to_a_listening_upstream_is_no_crash():
+    guard, _ = _guard()
+    guard.on_dispatch("e1", 1, "f1")
+    guard.on_reset("e1", 1)
+    guard.on_reset_explained("e1", 1)
+    assert guard.on_crash("e1", 1) == []
+    assert guard.standing("f1") is coordination.Standing.CLEAR
+
+
+def test_unsure_members_tighten_a_fleet_limit_and_never_loosen_it():
+    def member(name, status):
+        address = state.Address("127.0.0.1", 1)
+        place = state.Place("r", "d")
+        return state.MemberRecord(name, 1, 0, status, address, address, place)
+
+    alive, dead, left = (
+        state.MemberStatus.ALIVE,
+        state.MemberStatus.DEAD,
+        state.MemberStatus.LEFT,
+    )
+    both = [member("a", alive), member("b", alive)]
+    assert coordination.fleet_part(10.0, both) == 5.0
+    assert coordination.fleet_part(10.0, [both[0], member("b", dead)]) == 5.0
+    assert coordination.fleet_part(10.0, [both[0], member("b", left)]) == 10.0
+
+
+def test_batch_keeps_its_floor_beside_live_requests():
+    clock = state.ManualClock()
+    settings = coordination.AdmissionSettings(max_concurrent=1)
+    admission = coordination.Admission(clock, settings)
+    cost = coordination.CostEstimate(10.0)
+    admitted = []
+
+    def settle(decisions):
+        admitted.extend(decisions)
+
+    classes = {}
+    for _ in range(100):
+        for name in ("live", "batch"):
+            ticket, decisions = admission.request("a", name, cost, 100_000)
+            classes[ticket] = name
+            settle(decisions)
+    while len(admitted) < 100:
+        settle(admission.done(admitted[-1].ticket))
+    batch = sum(classes[d.ticket] == "batch" for d in admitted)
+    assert 5 <= batch <= 15
+
+
+registry_signs = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["list", "sign"]),
+        strategies.integers(1, 3),
+        strategies.sampled_from(state.UpstreamStatus),
+    ),
+    max_size=8,
+)
+
+
+@hypothesis.given(signs=registry_signs)
+def test_a_late_live_never_undoes_a_leaving(signs):
+    registry = coordination.UpstreamRegistry(state.ManualClock())
+    newest_leaving = 0
+    for source, incarnation, status in signs:
+        upstream = _upstream(incarnation, status)
+        if source == "list":
+            registry.on_list((upstream,))
+        else:
+            registry.on_leaving("u", incarnation, coordination.SignSource.PEER)
+        if source == "sign" or status is state.UpstreamStatus.LEAVING:
+            newest_leaving = max(newest_leaving, incarnation)
+        for eligible in registry.eligible("app"):
+            assert eligible.incarnation > newest_leaving
+
+
+def _upstream(incarnation, status):
+    return state.Upstream(
+        "u",
+        incarnation,
+        "app",
+        state.UpstreamKind.PLAIN,
+        state.Address("127.0.0.1", 1),
+        state.Place("r", "d"),
+        status,
+    )
+
+
+def test_owner_prefix_stays_put_when_another_upstream_goes():
+    rng = random.Random(1)
+    names = [f"e{n}" for n in range(10)]
+    keys = [str(rng.random()) for _ in range(200)]
+    before = {k: coordination.rendezvous_rank(k, names)[0] for k in keys}
+    after = {k: coordination.rendezvous_rank(k, names[1:])[0] for k in keys}
+    moved = [k for k in keys if before[k] != after[k]]
+    assert all(before[k] == "e0" for k in moved)
+
+
+def test_cache_gap_makes_what_is_known_doubtful():
+    clock = state.ManualClock()
+    view = coordination.LoadView(clock)
+    request = coordination.RouteRequest(prefix=(1, 2))
+    view.on_dispatch("e1", request)
+    assert view.candidate("e1", 0.0).cached == {1, 2}
+    view.on_cache_gap("e1")
+    assert view.candidate("e1", 0.0).cached == frozenset()
+
+
+def test_own_dispatches_since_a_report_count_and_old_reports_dont():
+    clock = state.ManualClock(10_000)
+    view = coordination.LoadView(clock, stale_after_ms=1_000)
+    request = coordination.RouteRequest(expected_tokens=50)
+    view.on_report(state.LoadReport("e1", 9_900, 3, 400))
+    ticket = view.on_dispatch("e1", request)
+    assert view.candidate("e1", 0.0).queued_tokens == 450
+    clock.advance(2_000)
+    assert view.candidate("e1", 0.0).queued_tokens == 50
+    view.on_done("e1", ticket)
+    assert view.candidate("e1", 0.0).queued_tokens == 0
--- /dev/null
+++ b/poplarloft/daemon/dispatch.py
@@ -0,0 +1,363 @@
+"""Sends one request to upstreams until one answers or none is left."""
+
+import asyncio
+from collections import abc
+import dataclasses
+
+import eliot
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.daemon import upstreams
+from poplarloft.protocol import http
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["Answer", "Dispatcher", "RelayCall"]
+
+CHARS_PER_TOKEN = 4
+SERVICE_UNAVAILABLE = 503
+CRASH_CHECK_MS = 300
+HEAD_START_MS = 20
+MS_PER_S = 1_000
+HOP_BY_HOP = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+RESET_KINDS = frozenset(
+    {
+        coordination.FailureKind.RESET_AFTER_SEND,
+        coordination.FailureKind.HALF_ANSWER,
+    }
+)
+
+Answer = result.Result[http.HttpResponse, state.Refusal]
+Attempt = result.Result[http.HttpResponse, coordination.Failure]
+RumourSink = abc.Callable[[state.Rumour], None]
+
+
+@dataclasses.dataclass(slots=True)
+class RelayCall:
+    """One caller's request on its way.
+
+    `target` is the path and query at the upstream; `started_at_ms` and
+    `deadline_ms` are times on the monotonic clock.
+    """
+
+    request: http.HttpRequest
+    headers: http.CallerHeaders
+    owner: str
+    route_name: str
+    route: state.RouteBody
+    target: str
+    repeatable: bool
+    fingerprint: str
+    started_at_ms: int
+    deadline_ms: int
+
+    @property
+    def flow_key(self) -> tuple[str, str]:
+        """Return what shares a retry budget and a cost estimate."""
+        return (self.owner, self.route_name)
+
+
+class Dispatcher:
+    """Attempts at upstreams: choice, health, crashes, retries.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    upstream_service : upstreams.UpstreamService
+        Eligible upstreams and their load.
+    client : http_client.HttpClient
+        Connections to upstreams.
+    policy : coordination.RoutingPolicy
+        Chooses among candidates.
+    guard : coordination.PoisonGuard
+        Suspects and quarantines.
+    spread : callable
+        Puts strikes and quarantines into the gossip.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        upstream_service: upstreams.UpstreamService,
+        client: http_client.HttpClient,
+        policy: coordination.RoutingPolicy,
+        guard: coordination.PoisonGuard,
+        spread: RumourSink,
+    ) -> None:
+        self.clock = clock
+        self.upstreams = upstream_service
+        self.client = client
+        self.policy = policy
+        self.guard = guard
+        self.spread = spread
+        self.health = coordination.HealthBook(clock)
+        self.budgets: dict[tuple[str, str], coordination.RetryBudget] = {}
+
+    async def dispatch(self, call: RelayCall) -> Answer:
+        """Try upstreams until one answers or the plan gives up."""
+        plan = coordination.AttemptPlan(
+            self.clock,
+            self._budget(call),
+            call.repeatable,
+            call.deadline_ms,
+            call.route.max_attempts,
+        )
+        excluded: frozenset[str] = frozenset()
+        while True:
+            standing = self.guard.standing(call.fingerprint)
+            if standing is coordination.Standing.QUARANTINED:
+                return result.Failure(_quarantined(plan))
+            candidates = self._candidates(call, standing, excluded)
+            if not candidates:
+                give_up = plan.on_no_upstream(call.route.service)
+                return result.Failure(give_up.refusal)
+            match await self._attempt(call, candidates):
+                case result.Success(response):
+                    plan.budget.on_success()
+                    self._absolve(call, response)
+                    return result.Success(response)
+                case result.Failure(failure):
+                    decision = plan.on_failure(failure)
+            match decision:
+                case coordination.GiveUp(refusal):
+                    return result.Failure(refusal)
+                case coordination.TryAgain(tried):
+                    excluded = tried
+
+    def _candidates(
+        self,
+        call: RelayCall,
+        standing: coordination.Standing,
+        excluded: frozenset[str],
+    ) -> list[coordination.Candidate]:
+        """Return healthy candidates; one without suspects for a suspect."""
+        candidates = self.upstreams.candidates(call.route.service, excluded)
+        usable = set(self.health.usable([c.name for c in candidates]))
+        candidates = [c for c in candidates if c.name in usable]
+        if standing is coordination.Standing.CLEAR or not candidates:
+            return candidates
+        by_name = {c.name: c for c in candidates}
+        place = self.guard.placement(call.fingerprint, by_name)
+        return [by_name[place]] if place is not None else []
+
+    async def _attempt(
+        self, call: RelayCall, candidates: list[coordination.Candidate]
+    ) -> Attempt:
+        route_request = _route_request(call)
+        name = self.policy.choose(route_request, candidates).name
+        upstream = self.upstreams.find(name)
+        self.health.on_chosen(name)
+        finish = self._note_dispatch(call, upstream, route_request)
+        outcome = await self._send(call, upstream)
+        match outcome:
+            case result.Success(http.HttpResponse(body=body) as response):
+                self.health.on_success(name)
+                if not isinstance(body, bytes):
+                    watched = self._watch_stream(body, upstream, finish)
+                    return result.Success(
+                        dataclasses.replace(response, body=watched)
+                    )
+            case result.Failure(failure):
+                await self._on_failure(upstream, failure.kind)
+        finish()
+        return outcome
+
+    def _absolve(self, call: RelayCall, response: http.HttpResponse) -> None:
+        if isinstance(response.body, bytes):
+            for rumour in self.guard.on_whole(call.fingerprint):
+                self.spread(rumour)
+
+    def _note_dispatch(
+        self,
+        call: RelayCall,
+        upstream: state.Upstream,
+        route_request: coordination.RouteRequest,
+    ) -> abc.Callable[[], None]:
+        """Count a request in flight; return what ends the count."""
+        name, incarnation = upstream.name, upstream.incarnation
+        load_ticket = self.upstreams.load.on_dispatch(name, route_request)
+        guard_ticket = self.guard.on_dispatch(
+            name, incarnation, call.fingerprint
+        )
+
+        def finish() -> None:
+            self.upstreams.load.on_done(name, load_ticket)
+            self.guard.on_done(name, incarnation, guard_ticket)
+
+        return finish
+
+    async def _watch_stream(
+        self,
+        body: abc.AsyncIterator[bytes],
+        upstream: state.Upstream,
+        finish: abc.Callable[[], None],
+    ) -> abc.AsyncIterator[bytes]:
+        """Yield a streamed body; take its break for a possible crash."""
+        try:
+            async for piece in body:
+                yield piece
+        except http_client.AnswerCut:
+            kind = coordination.FailureKind.HALF_ANSWER
+            await self._on_failure(upstream, kind)
+            raise
+        finally:
+            finish()
+            await body.aclose()  # type: ignore[attr-defined]
+
+    async def _on_failure(
+        self, upstream: state.Upstream, kind: coordination.FailureKind
+    ) -> None:
+        if kind is not coordination.FailureKind.REFUSED_WITH_PROOF:
+            self.health.on_failure(upstream.name)
+        if kind in RESET_KINDS:
+            await self._check_crash(upstream)
+
+    async def _check_crash(self, upstream: state.Upstream) -> None:
+        """Tell a crash from a lost connection: does it still listen?"""
+        name, incarnation = upstream.name, upstream.incarnation
+        self.guard.on_reset(name, incarnation)
+        sent = await self.client.send(
+            upstream.address,
+            "GET",
+            "/healthz",
+            timeout_ms=CRASH_CHECK_MS,
+            fresh=True,
+        )
+        match sent:
+            case result.Success(answer):
+                answer.close()
+                self.guard.on_reset_explained(name, incarnation)
+            case _:
+                rumours = self.guard.on_crash(name, incarnation)
+                for rumour in rumours:
+                    self.spread(rumour)
+                    _log_quarantine(rumour)
+                # Strikes must reach the neighbours before a resend does.
+                await asyncio.sleep(HEAD_START_MS / MS_PER_S)
+
+    async def _send(
+        self, call: RelayCall, upstream: state.Upstream
+    ) -> Attempt:
+        sent = await self.client.send(
+            upstream.address,
+            call.request.method,
+            call.target,
+            _forwarded_headers(call.request.headers),
+            call.request.body,
+            max(1, call.deadline_ms - self.clock.now_ms()),
+            fresh=not call.repeatable,
+        )
+        match sent:
+            case result.Success(answer):
+                return await self._take_answer(call, upstream, answer)
+            case result.Failure(failure):
+                return result.Failure(
+                    coordination.Failure(
+                        upstream.name, failure.kind, failure.detail
+                    )
+                )
+        raise AssertionError(sent)
+
+    async def _take_answer(
+        self,
+        call: RelayCall,
+        upstream: state.Upstream,
+        answer: http_client.UpstreamAnswer,
+    ) -> Attempt:
+        """Return the upstream's answer, or the failure that it means."""
+        if answer.status == SERVICE_UNAVAILABLE:
+            return self._take_refusal(upstream, answer)
+        headers = _returned_headers(answer.headers)
+        if call.route.streamed:
+            return result.Success(
+                http.HttpResponse(answer.status, headers, answer.chunks())
+            )
+        try:
+            body = await answer.read()
+        except http_client.AnswerCut as error:
+            return result.Failure(
+                coordination.Failure(
+                    upstream.name,
+                    coordination.FailureKind.HALF_ANSWER,
+                    str(error),
+                )
+            )
+        return result.Success(http.HttpResponse(answer.status, headers, body))
+
+    def _take_refusal(
+        self, upstream: state.Upstream, answer: http_client.UpstreamAnswer
+    ) -> Attempt:
+        """Tell a refusal with the upstream's proof from one without."""
+        proven = answer.headers.get(http.NOT_EXECUTED_HEADER) == "true"
+        if answer.headers.get(http.LEAVING_HEADER) == "true":
+            self.upstreams.on_leaving(
+                upstream.name,
+                upstream.incarnation,
+                coordination.SignSource.REFUSAL,
+            )
+        answer.close()
+        kind = coordination.FailureKind.REFUSED_WITHOUT_PROOF
+        if proven:
+            kind = coordination.FailureKind.REFUSED_WITH_PROOF
+        return result.Failure(coordination.Failure(upstream.name, kind))
+
+    def _budget(self, call: RelayCall) -> coordination.RetryBudget:
+        budget = self.budgets.get(call.flow_key)
+        if budget is None:
+            budget = coordination.RetryBudget(self.clock)
+            self.budgets[call.flow_key] = budget
+        return budget
+
+
+def _log_quarantine(rumour: state.Rumour) -> None:
+    if isinstance(rumour, state.QuarantineRumour):
+        eliot.log_message(
+            "quarantine",
+            fingerprint=rumour.fingerprint,
+            until_ms=rumour.until_ms,
+        )
+
+
+def _quarantined(plan: coordination.AttemptPlan) -> state.Refusal:
+    return state.Refusal(
+        state.Reason.QUARANTINED,
+        plan.verdict,
+        "requests with this body crashed upstreams and are quarantined; "
+        "an operator can release the fingerprint",
+    )
+
+
+def _route_request(call: RelayCall) -> coordination.RouteRequest:
+    prompt = call.request.body.decode("utf-8", "replace")
+    return coordination.RouteRequest(
+        tuple(coordination.prefix_blocks(prompt)),
+        len(prompt) // CHARS_PER_TOKEN,
+    )
+
+
+def _forwarded_headers(
+    headers: dict[str, str],
+) -> abc.Iterable[tuple[str, str]]:
+    return [(n, v) for n, v in headers.items() if n not in HOP_BY_HOP]
+
+
+def _returned_headers(
+    headers: dict[str, str],
+) -> tuple[tuple[str, str], ...]:
+    return tuple((n, v) for n, v in headers.items() if n not in HOP_BY_HOP)
--- a/poplarloft/daemon/exchange.py
+++ b/poplarloft/daemon/exchange.py
@@ -24,6 +24,12 @@
         Gets revisions from peers; tells of new ones.
     upstream_service : upstreams.UpstreamService
         Gets and tells signs of leaving.
+    guard : coordination.PoisonGuard
+        Gets strikes and quarantines; obeys orders of release.
+    admission : coordination.Admission
+        Gets the owners' shares.
+    limits : coordination.RateLimits
+        Gets this instance's part of the owners' rates.
     """
 
     def __init__(
@@ -31,10 +37,17 @@
         fleet_service: fleet.FleetService,
         configuration_service: configuration.ConfigurationService,
         upstream_service: upstreams.UpstreamService,
+        guard: coordination.PoisonGuard,
+        admission: coordination.Admission,
+        limits: coordination.RateLimits,
     ) -> None:
         self.fleet = fleet_service
         self.configuration = configuration_service
         self.upstreams = upstream_service
+        self.guard = guard
+        self.admission = admission
+        self.limits = limits
+        self.obeyed: set[state.Document] = set()
         self.wanted_revision = -1
         self.timer = tasks.WakeTimer(self._ask_again)
         fleet_service.rumour_listeners.append(self._on_rumour)
@@ -46,6 +59,31 @@
 
     def _on_head(self, head: state.Configuration) -> None:
         self.fleet.spread(state.HeadRumour(head.revision, self.fleet.name))
+        self._set_limits()
+        self._obey_releases(head)
+
+    def _set_limits(self) -> None:
+        """Take shares and rates from the configuration in force."""
+        members = self.fleet.membership.members.values()
+        shares = {}
+        head = self.configuration.current
+        for document in head.of_kind(state.DocumentKind.OWNER):
+            assert isinstance(document.body, state.OwnerBody)
+            shares[document.name] = document.body.share
+            rate_per_s = coordination.fleet_part(
+                document.body.rate_per_s, members
+            )
+            self.limits.set_rate(document.name, rate_per_s)
+        self.admission.set_shares(shares)
+
+    def _obey_releases(self, head: state.Configuration) -> None:
+        """End each quarantine that a new document releases."""
+        for document in head.of_kind(state.DocumentKind.RELEASE):
+            if document in self.obeyed:
+                continue
+            assert isinstance(document.body, state.ReleaseBody)
+            self.obeyed.add(document)
+            self.fleet.spread(self.guard.release(document.body.fingerprint))
 
     def _on_sign(self, sign: coordination.LeavingSign) -> None:
         self.fleet.spread(state.LeavingRumour(sign.upstream, sign.incarnation))
@@ -60,6 +98,12 @@
                 if revision > self.configuration.follower.revision:
                     self.wanted_revision = revision
                     self._ask_for_head(holder)
+            case (
+                state.StrikeRumour()
+                | state.AbsolvedRumour()
+                | state.QuarantineRumour()
+            ):
+                self.guard.on_rumour(rumour)
 
     def _ask_for_head(self, holder: str) -> None:
         known = self.configuration.follower.revision
@@ -81,7 +125,8 @@
             self.timer.set(ASK_AGAIN_MS)
 
     def _on_members(self) -> None:
-        """Let only the data centre's relays watch the platform."""
+        """Let only relays watch the platform; split limits anew."""
+        self._set_limits()
         if self.fleet.membership.is_relay():
             self.configuration.may_watch.set()
         else:
--- a/poplarloft/daemon/fleet.py
+++ b/poplarloft/daemon/fleet.py
@@ -73,6 +73,13 @@
         if self.membership.on_rumour(rumour):
             self._tell(rumour)
 
+    def spread_at_once(self, rumour: state.Rumour) -> None:
+        """Send a rare and urgent rumour to each neighbour directly."""
+        self.spread(rumour)
+        for name in self.live_neighbours():
+            if name != self.name:
+                self.send(name, coordination.SendRumours(name, (rumour,)))
+
     def live_neighbours(self) -> list[str]:
         """Return the live instances of this data centre, with this one."""
         place = self.membership.me.place
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -9,6 +9,7 @@
 from poplarloft import coordination
 from poplarloft.daemon import claims
 from poplarloft.daemon import configuration
+from poplarloft.daemon import dispatch
 from poplarloft.daemon import exchange
 from poplarloft.daemon import fleet
 from poplarloft.daemon import frontend
@@ -176,7 +177,12 @@
             membership, self.sockets, seeds, self.task_set
         )
         self.exchange = exchange.Exchange(
-            joined, self.configuration, self.upstreams
+            joined,
+            self.configuration,
+            self.upstreams,
+            self.guard,
+            self.admission,
+            self.limits,
         )
         self.claims.join(joined)
         joined.start()
@@ -208,17 +214,39 @@
         )
 
     def _make_relay(self) -> relay.Relay:
-        return relay.Relay(
+        self.guard = coordination.PoisonGuard(
+            self.clock, self.wall_clock, str(self.incarnation)
+        )
+        self.dispatcher = dispatch.Dispatcher(
             self.clock,
-            self.configuration,
             self.upstreams,
-            self.claims,
             self.client,
             self.policy,
+            self.guard,
+            self._spread,
+        )
+        self.admission = coordination.Admission(
+            self.clock,
+            coordination.AdmissionSettings(
+                max_concurrent=self.settings.max_concurrent
+            ),
+        )
+        self.limits = coordination.RateLimits(self.clock)
+        return relay.Relay(
+            self.clock,
+            self.configuration,
+            self.claims,
+            self.dispatcher,
+            self.admission,
+            self.limits,
             self.histograms,
             self._make_metrics(),
         )
 
+    def _spread(self, rumour: state.Rumour) -> None:
+        if self.fleet is not None:
+            self.fleet.spread_at_once(rumour)
+
     def _make_rollouts(self) -> rollouts.RolloutService:
         producer = generation.SampleProducer(
             self.client, self.upstreams, self.policy
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -35,6 +35,7 @@
 from poplarloft.protocol.http import HttpRequest
 from poplarloft.protocol.http import HttpResponse
 from poplarloft.protocol.http import json_response
+from poplarloft.protocol.http import LEAVING_HEADER
 from poplarloft.protocol.http import NOT_EXECUTED_HEADER
 from poplarloft.protocol.http import parse_caller_headers
 from poplarloft.protocol.http import problem_response
@@ -117,6 +118,7 @@
     "KeyValueAnswer",
     "LeaseAnswer",
     "LeaseRequest",
+    "LEAVING_HEADER",
     "ledger_key",
     "load_report",
     "load_settings",
--- a/poplarloft/protocol/http.py
+++ b/poplarloft/protocol/http.py
@@ -15,6 +15,7 @@
     "CallerHeaders",
     "HttpRequest",
     "HttpResponse",
+    "LEAVING_HEADER",
     "NOT_EXECUTED_HEADER",
     "bearer_digest",
     "claim_key",
@@ -22,10 +23,12 @@
     "parse_caller_headers",
     "problem_response",
     "request_fingerprint",
+    "with_end",
 ]
 
 VERDICT_HEADER = "Poplarloft-Verdict"
 NOT_EXECUTED_HEADER = "poplarloft-not-executed"
+LEAVING_HEADER = "poplarloft-leaving"
 MAX_DEADLINE_MS = 3_600_000
 UUID7_VERSION = 7
 UUID7_TIME_SHIFT = 80
@@ -127,6 +130,18 @@
     return HttpResponse(status, (("content-type", "application/json"),), body)
 
 
+async def with_end(
+    body: abc.AsyncIterator[bytes], on_end: abc.Callable[[], None]
+) -> abc.AsyncIterator[bytes]:
+    """Yield `body`, then call `on_end`, however it ends."""
+    try:
+        async for piece in body:
+            yield piece
+    finally:
+        on_end()
+        await body.aclose()  # type: ignore[attr-defined]
+
+
 _STATUS_OF_REASON = {
     state.Reason.BAD_REQUEST: 400,
     state.Reason.UNAUTHENTICATED: 401,
--- a/poplarloft/protocol/peers.py
+++ b/poplarloft/protocol/peers.py
@@ -53,6 +53,11 @@
     alone: int
 
 
+class _Absolved(_Wire, tag="a"):
+    fingerprint: str
+    at_ms: int
+
+
 class _Quarantine(_Wire, tag="q"):
     fingerprint: str
     until_ms: int
@@ -66,7 +71,9 @@
     counters: list[tuple[str, str, str, int]]
 
 
-_Rumour = _Member | _Leaving | _Head | _Strike | _Quarantine | _Usage
+_Rumour = (
+    _Member | _Leaving | _Head | _Strike | _Absolved | _Quarantine | _Usage
+)
 
 
 class _Ping(_Wire, tag="P"):
@@ -247,6 +254,8 @@
             return _Head(revision, holder)
         case state.StrikeRumour(fingerprint, witness, strikes, alone):
             return _Strike(fingerprint, witness, strikes, alone)
+        case state.AbsolvedRumour(fingerprint, at_ms):
+            return _Absolved(fingerprint, at_ms)
         case state.QuarantineRumour(fingerprint, until_ms, generation):
             return _Quarantine(fingerprint, until_ms, generation)
         case state.UsageRumour(instance, incarnation, total, counters):
@@ -276,6 +285,8 @@
             return state.HeadRumour(revision, holder)
         case _Strike(fingerprint, witness, strikes, alone):
             return state.StrikeRumour(fingerprint, witness, strikes, alone)
+        case _Absolved(fingerprint, at_ms):
+            return state.AbsolvedRumour(fingerprint, at_ms)
         case _Quarantine(fingerprint, until_ms, generation):
             return state.QuarantineRumour(fingerprint, until_ms, generation)
         case _Usage(instance, incarnation, total, counters):
--- a/poplarloft/protocol/tests/test_peers.py
+++ b/poplarloft/protocol/tests/test_peers.py
@@ -30,6 +30,7 @@
     strategies.builds(state.LeavingRumour, names, numbers),
     strategies.builds(state.HeadRumour, numbers, names),
     strategies.builds(state.StrikeRumour, names, names, numbers, numbers),
+    strategies.builds(state.AbsolvedRumour, names, numbers),
     strategies.builds(state.QuarantineRumour, names, numbers, numbers),
     strategies.builds(
         state.UsageRumour,
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -37,6 +37,7 @@
 from poplarloft.state.ports import InstanceList
 from poplarloft.state.ports import KeyValueStore
 from poplarloft.state.ports import Metrics
+from poplarloft.state.rumours import AbsolvedRumour
 from poplarloft.state.rumours import HeadRumour
 from poplarloft.state.rumours import LeavingRumour
 from poplarloft.state.rumours import QuarantineRumour
@@ -58,6 +59,7 @@
 
 __all__ = [
     "ABSENT_VERSION",
+    "AbsolvedRumour",
     "Address",
     "Body",
     "Chunk",
--- a/poplarloft/state/rumours.py
+++ b/poplarloft/state/rumours.py
@@ -9,6 +9,7 @@
 from poplarloft.state import membership
 
 __all__ = [
+    "AbsolvedRumour",
     "HeadRumour",
     "LeavingRumour",
     "QuarantineRumour",
@@ -77,6 +78,24 @@
         return (self.strikes, self.alone)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbsolvedRumour:
+    """A suspected fingerprint ran whole; earlier strikes don't count."""
+
+    fingerprint: str
+    at_ms: int
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Return what newer rumours replace."""
+        return ("absolved", self.fingerprint)
+
+    @property
+    def order(self) -> tuple[int, ...]:
+        """Return the rumour's age; the larger one wins."""
+        return (self.at_ms,)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineRumour:
     """A fingerprint is refused until a Unix time, or released at 0."""
@@ -125,6 +144,7 @@
     | LeavingRumour
     | HeadRumour
     | StrikeRumour
+    | AbsolvedRumour
     | QuarantineRumour
     | UsageRumour
 )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -162,7 +162,7 @@
         if self.leaving:
             headers = (
                 (http.NOT_EXECUTED_HEADER, "true"),
-                ("poplarloft-leaving", "true"),
+                (http.LEAVING_HEADER, "true"),
             )
             return http.HttpResponse(503, headers)
         wanted = serving.decode(request.body, engine.CompletionRequest)
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -41,7 +41,7 @@
         if self.leaving:
             headers = (
                 (http.NOT_EXECUTED_HEADER, "true"),
-                ("poplarloft-leaving", "true"),
+                (http.LEAVING_HEADER, "true"),
             )
             return http.HttpResponse(503, headers)
         key = request.headers.get("x-request-key") or request.body.decode()
