Route by near prefixes, run ahead by staleness

Cause, routing: the prefix's owner lay in another region for most requests, and tokens that a batch works on at once counted as a wait. Cause, rollouts: run-ahead was planned in steps, ignored that a training step ends in a publication, and copies of late samples drew new, shorter ones. Cause, weights: the serving share was rounded down, and an issuer took its lease only when a rollout began.

Change: owner among the nearest, batch without a wait, distance at 250 ms; one planned staleness per lot, from which the depth follows; re-dispatch by rate with the slot's own seed; share rounded up, lease kept by the data centre's relays.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,15 @@
 import importlib
 import json
 
-EXPERIMENTS = ("admission", "claims", "membership", "poison")
+EXPERIMENTS = (
+    "admission",
+    "claims",
+    "membership",
+    "poison",
+    "routing",
+    "stragglers",
+    "weights",
+)
 
 
 def main() -> None:
--- a/benchmarks/tests/test_requests.py
+++ b/benchmarks/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 from benchmarks import admission
 from benchmarks import poison
+from benchmarks import routing
 
 
 def test_poison_crashes_at_most_three_engines_and_no_bystander_pays():
@@ -24,3 +25,14 @@
     for figures in rows["both-at-2x", "fair"]["owners"].values():
         assert figures["in_time_percent"] >= 95
     assert all(row["refused_after_run"] == 0 for row in rows.values())
+
+
+def test_scored_routing_halves_first_token_time_under_shared_prefixes():
+    rows = {
+        (row["shared_prefixes"], row["policy"]): row
+        for row in routing.run(seed=1, small=True)["rows"]
+    }
+    scored = rows[True, "scored"]["p50_ms"]
+    assert scored <= 0.5 * rows[True, "round-robin"]["p50_ms"]
+    without = rows[False, "scored"]["p50_ms"]
+    assert without <= 1.05 * rows[False, "least-loaded"]["p50_ms"]
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -48,7 +48,7 @@
 from poplarloft.coordination.lots import LotAction
 from poplarloft.coordination.lots import LotRunner
 from poplarloft.coordination.lots import LotWaste
-from poplarloft.coordination.lots import run_ahead_steps
+from poplarloft.coordination.lots import planned_staleness
 from poplarloft.coordination.lots import ScoreSample
 from poplarloft.coordination.membership import Membership
 from poplarloft.coordination.membership import MembershipAction
@@ -85,7 +85,7 @@
 from poplarloft.coordination.shutdown import ShutdownPhase
 from poplarloft.coordination.shutdown import ShutdownPlan
 from poplarloft.coordination.stragglers import NoRedispatch
-from poplarloft.coordination.stragglers import QuantileRedispatch
+from poplarloft.coordination.stragglers import RateRedispatch
 from poplarloft.coordination.stragglers import RedispatchPolicy
 from poplarloft.coordination.stragglers import Running
 from poplarloft.coordination.upstreams import LeavingSign
@@ -147,14 +147,15 @@
     "NoRedispatch",
     "Offer",
     "OrderKind",
+    "planned_staleness",
     "PoisonGuard",
     "PoisonSettings",
     "prefix_blocks",
     "Prices",
     "propose",
-    "QuantileRedispatch",
     "RandomChoice",
     "RateLimits",
+    "RateRedispatch",
     "ReadHead",
     "ReadLedger",
     "RecordedAnswer",
@@ -167,7 +168,6 @@
     "ROUTING_POLICIES",
     "RoutingPolicy",
     "RumourStore",
-    "run_ahead_steps",
     "Running",
     "SampleBuffer",
     "ScoredTwoChoices",
--- a/poplarloft/coordination/lots.py
+++ b/poplarloft/coordination/lots.py
@@ -18,19 +18,19 @@
     "LotRunner",
     "LotWaste",
     "ScoreSample",
-    "run_ahead_steps",
+    "planned_staleness",
 ]
 
 
-def run_ahead_steps(lot: state.LotBody) -> int:
-    """Return how many steps ahead of the trainer a lot may generate.
+def planned_staleness(lot: state.LotBody) -> int:
+    """Return how old, in versions, a sample is planned to be on use.
 
-    Each step ahead ages a sample by one version until its delivery, so
-    the bound limits the depth; the owner's weights choose within it.
+    Running ahead hides the generation behind the training but ages the
+    samples: the owner's weights choose a point within the bound.
     """
     total = lot.idle_weight + lot.staleness_weight
     preference = lot.idle_weight / total if total > 0 else 0.0
-    return round(lot.staleness_bound * preference)
+    return int(lot.staleness_bound * preference + 0.5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +91,7 @@
     slot: state.Slot
     started_at_ms: int
     stage: _Stage = _Stage.GENERATING
+    tokens_so_far: int = 0
     tokens: tuple[int, ...] = ()
     spans: tuple[state.Span, ...] = ()
     produced_by: str = ""
@@ -108,9 +109,10 @@
     lot : state.LotBody
         What the operators ordered.
     redispatch : stragglers.RedispatchPolicy
-        Names late generations.
-    run_ahead : int or None
-        Steps generated ahead; None takes `run_ahead_steps`.
+        Names slow generations.
+    staleness : int or None
+        Versions that samples are planned to be old on use; None takes
+        `planned_staleness`.
     """
 
     def __init__(
@@ -119,15 +121,16 @@
         name: str,
         lot: state.LotBody,
         redispatch: stragglers.RedispatchPolicy,
-        run_ahead: int | None = None,
+        staleness: int | None = None,
     ) -> None:
         self.clock = clock
         self.name = name
         self.lot = lot
         self.redispatch = redispatch
-        self.run_ahead = (
-            run_ahead_steps(lot) if run_ahead is None else (run_ahead)
-        )
+        if staleness is None:
+            staleness = planned_staleness(lot)
+        self.staleness = min(staleness, lot.staleness_bound)
+        self.publish_pending = False
         self.buffer = delivery.SampleBuffer(lot.staleness_bound)
         self.work: dict[int, _Work] = {}
         self.holdings: state.Holdings | None = None
@@ -143,11 +146,31 @@
         """
         newest = self.holdings
         if newest is None or _pull_order(holdings) >= _pull_order(newest):
+            self._note_publish(newest, holdings)
             self.holdings = holdings
         offer = self.buffer.offer(holdings)
         self.waste.stale_tokens += sum(len(s.tokens) for s in offer.stale)
         return offer
 
+    def _note_publish(
+        self, before: state.Holdings | None, now: state.Holdings
+    ) -> None:
+        """Infer whether the trainer will publish before it uses samples.
+
+        A trainer that asks for the next step under the old version is
+        still training on the step before.
+        """
+        if before is None or now.weight_version > before.weight_version:
+            self.publish_pending = False
+        elif now.step > before.step:
+            self.publish_pending = True
+
+    def on_progress(self, attempt: int, tokens: int) -> None:
+        """Note how many tokens a generation has given so far."""
+        work = self.work.get(attempt)
+        if work is not None:
+            work.tokens_so_far = tokens
+
     def plan(self, free_streams: int) -> list[LotAction]:
         """Return generations to start on `free_streams` idle streams."""
         actions: list[LotAction] = list(self._cancel_obsolete())
@@ -172,7 +195,8 @@
         if work is None:
             self.waste.duplicate_tokens += len(tokens)
             return []
-        self.redispatch.on_finished(self.clock.now_ms() - work.started_at_ms)
+        duration_ms = self.clock.now_ms() - work.started_at_ms
+        self.redispatch.on_finished(duration_ms, len(tokens))
         work.stage = _Stage.SCORING
         work.tokens, work.spans = tokens, spans
         work.produced_by = produced_by
@@ -206,10 +230,11 @@
         assert self.holdings is not None
         taken = {work.slot for work in self.work.values()}
         taken.update(self.buffer.samples)
-        first = self.holdings.step
-        last = min(first + self.run_ahead, self.lot.steps - 1)
+        newest = self.holdings.weight_version
         missing = []
-        for step in range(first, last + 1):
+        for step in range(self.holdings.step, self.lot.steps):
+            if self._min_version(step) > newest:
+                break
             for slot in self._slots(step):
                 if slot not in taken and not self._is_held(slot):
                     missing.append(slot)
@@ -238,22 +263,21 @@
             self.next_attempt,
             self._prompt(slot),
             self.lot.max_tokens,
-            self._min_version(slot),
+            self._min_version(slot.step),
         )
 
-    def _min_version(self, slot: state.Slot) -> int:
-        """Return the oldest version that can be fresh on delivery."""
+    def _min_version(self, step: int) -> int:
+        """Return the oldest version that may produce samples of a step."""
         assert self.holdings is not None
-        steps_ahead = slot.step - self.holdings.step
-        expected = self.holdings.weight_version + steps_ahead
-        return expected - self.lot.staleness_bound
+        ahead = step - self.holdings.step + self.publish_pending
+        return self.holdings.weight_version + ahead - self.staleness
 
     def _prompt(self, slot: state.Slot) -> str:
         position = slot.step * self.lot.groups_per_step + slot.group
         return self.lot.prompts[position % len(self.lot.prompts)]
 
     def _start_copies(self, spare: int) -> list[LotAction]:
-        """Start late generations of the current step a second time."""
+        """Start slow generations of the current step a second time."""
         assert self.holdings is not None
         now_ms = self.clock.now_ms()
         copies: dict[state.Slot, int] = {}
@@ -261,14 +285,17 @@
             copies[work.slot] = copies.get(work.slot, 0) + 1
         running = [
             stragglers.Running(
-                attempt, now_ms - work.started_at_ms, copies[work.slot]
+                attempt,
+                now_ms - work.started_at_ms,
+                work.tokens_so_far,
+                copies[work.slot],
             )
             for attempt, work in self.work.items()
             if work.stage is _Stage.GENERATING
             and work.slot.step == self.holdings.step
         ]
-        late = self.redispatch.late(running)
-        return [self._start(self.work[a].slot) for a in late[:spare]]
+        slow = self.redispatch.slow(running)
+        return [self._start(self.work[a].slot) for a in slow[:spare]]
 
     def _cancel_copies(self, winner: int, slot: state.Slot) -> list[LotAction]:
         others = [
--- a/poplarloft/coordination/routing.py
+++ b/poplarloft/coordination/routing.py
@@ -160,6 +160,8 @@
     ----------
     decode_ms, prefill_ms : float
         Time per token produced and per prompt token read.
+    batch_tokens : float
+        Tokens owed that an engine works on at once, without a queue.
     load_factor : float
         The prefix's owner is passed over once its queue is this many
         times the mean (bounded load).
@@ -169,7 +171,8 @@
 
     decode_ms: float = 0.5
     prefill_ms: float = 0.2
-    load_factor: float = 1.5
+    batch_tokens: float = 256.0
+    load_factor: float = 2.5
     block_tokens: int = 16
 
 
@@ -201,7 +204,8 @@
 
     def score(self, request: RouteRequest, candidate: Candidate) -> float:
         """Return predicted milliseconds to the first token, plus price."""
-        wait_ms = candidate.queued_tokens * self.prices.decode_ms
+        waiting = candidate.queued_tokens - self.prices.batch_tokens
+        wait_ms = max(0.0, waiting) * self.prices.decode_ms
         cached = self._cached_blocks(request, candidate)
         cached_tokens = cached * self.prices.block_tokens
         missing = max(0, request.prompt_tokens - cached_tokens)
@@ -223,20 +227,23 @@
     ) -> list[Candidate]:
         """Return the prefix's rendezvous owner and the warmest holder.
 
-        All instances agree on the owner without exchanging anything, so
-        a prefix gathers on one upstream before any cache event arrives.
+        All instances of a place agree on the owner without exchanging
+        anything, so a prefix gathers on one near upstream before any
+        cache event arrives.
         """
-        by_name = {c.name: c for c in candidates}
-        mean = sum(c.queued_tokens for c in candidates) / len(candidates)
+        least_price_ms = min(c.price_ms for c in candidates)
+        near = {c.name: c for c in candidates if c.price_ms == least_price_ms}
+        mean = sum(c.queued_tokens for c in near.values()) / len(near)
         limit = self.prices.load_factor * mean + request.expected_tokens
-        first_block = str(request.prefix[0])
+        limit = max(limit, self.prices.batch_tokens)
         warm = []
-        for name in rendezvous_rank(first_block, by_name):
-            if by_name[name].queued_tokens <= limit:
-                warm.append(by_name[name])
+        for name in rendezvous_rank(str(request.prefix[0]), near):
+            if near[name].queued_tokens <= limit:
+                warm.append(near[name])
                 break
         holder = max(candidates, key=lambda c: self._cached_blocks(request, c))
-        warm.append(holder)
+        if self._cached_blocks(request, holder):
+            warm.append(holder)
         return warm
 
 
--- a/poplarloft/coordination/stragglers.py
+++ b/poplarloft/coordination/stragglers.py
@@ -1,90 +1,114 @@
-"""Which running samples are late enough to be started a second time."""
+"""Which running samples are worth starting a second time.
+
+A copy uses the slot's own seed, so it is as long as the original: taking
+the first whole one does not favour short samples. It pays where the
+engine is slow or stuck, not where the sample is long.
+"""
 
 from collections import abc
 import dataclasses
+import statistics
 import typing
 
 __all__ = [
     "NoRedispatch",
-    "QuantileRedispatch",
+    "RateRedispatch",
     "RedispatchPolicy",
     "Running",
 ]
 
 MIN_OBSERVATIONS = 8
-HISTORY = 512
+HISTORY = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Running:
-    """A generation in progress."""
+    """A generation in progress.
+
+    Parameters
+    ----------
+    attempt : int
+        Its number.
+    elapsed_ms : int
+        Time since its start.
+    tokens : int
+        Tokens received so far.
+    copies : int
+        Generations of the same slot, this one included.
+    """
 
     attempt: int
     elapsed_ms: int
+    tokens: int
     copies: int
 
 
 class RedispatchPolicy(typing.Protocol):
-    """Learns from durations and names late generations."""
+    """Learns from whole generations and names slow ones."""
 
-    def on_finished(self, duration_ms: int) -> None:
-        """Learn the duration of a whole generation."""
+    def on_finished(self, duration_ms: int, tokens: int) -> None:
+        """Learn the duration and length of a whole generation."""
 
-    def late(self, running: abc.Sequence[Running]) -> list[int]:
-        """Return attempts to start again, the latest first."""
+    def slow(self, running: abc.Sequence[Running]) -> list[int]:
+        """Return attempts to start again, the most urgent first."""
 
 
 class NoRedispatch:
-    """Baseline: waits for every straggler."""
+    """Baseline: waits for every engine."""
 
-    def on_finished(self, duration_ms: int) -> None:
+    def on_finished(self, duration_ms: int, tokens: int) -> None:
         """Learn nothing."""
 
-    def late(self, running: abc.Sequence[Running]) -> list[int]:
+    def slow(self, running: abc.Sequence[Running]) -> list[int]:
         """Return nothing."""
         return []
 
 
-class QuantileRedispatch:
-    """Starts again what runs longer than a quantile of the lot's past.
+class RateRedispatch:
+    """Starts again what runs at a fraction of the usual rate.
 
     Parameters
     ----------
-    quantile : float
-        Fraction of past durations that counts as usual.
     factor : float
-        How many times that duration a generation may take.
+        How many times the median time per token is slow.
+    min_elapsed_ms : int
+        Age from which a generation is judged.
     max_copies : int
         Generations of one slot at a time.
     """
 
     def __init__(
         self,
-        quantile: float = 0.95,
-        factor: float = 1.2,
+        factor: float = 2.0,
+        min_elapsed_ms: int = 500,
         max_copies: int = 2,
     ) -> None:
-        self.quantile = quantile
         self.factor = factor
+        self.min_elapsed_ms = min_elapsed_ms
         self.max_copies = max_copies
-        self.durations_ms: list[int] = []
+        self.ms_per_token: list[float] = []
 
-    def on_finished(self, duration_ms: int) -> None:
-        """Learn a duration; only the newest ones are kept."""
-        self.durations_ms.append(duration_ms)
-        del self.durations_ms[:-HISTORY]
+    def on_finished(self, duration_ms: int, tokens: int) -> None:
+        """Learn a rate; only the newest ones are kept."""
+        self.ms_per_token.append(duration_ms / max(1, tokens))
+        del self.ms_per_token[:-HISTORY]
 
-    def late(self, running: abc.Sequence[Running]) -> list[int]:
-        """Return attempts beyond the limit, the longest first."""
-        if len(self.durations_ms) < MIN_OBSERVATIONS:
+    def slow(self, running: abc.Sequence[Running]) -> list[int]:
+        """Return attempts beyond the limit, the slowest first."""
+        if len(self.ms_per_token) < MIN_OBSERVATIONS:
             return []
-        ordered = sorted(self.durations_ms)
-        position = int(self.quantile * (len(ordered) - 1))
-        limit_ms = ordered[position] * self.factor
-        late = [
+        usual = statistics.median(self.ms_per_token)
+        slow = [
             r
             for r in running
-            if r.elapsed_ms > limit_ms and r.copies < self.max_copies
+            if r.elapsed_ms >= self.min_elapsed_ms
+            and r.copies < self.max_copies
+            and _rate(r) > self.factor * usual
         ]
-        late.sort(key=lambda r: r.elapsed_ms, reverse=True)
-        return [r.attempt for r in late]
+        slow.sort(key=_rate, reverse=True)
+        return [r.attempt for r in slow]
+
+
+def _rate(running: Running) -> float:
+    """Return milliseconds per token so far."""
+    return running.elapsed_ms / max(1, running.tokens)
--- a/poplarloft/coordination/tests/test_delivery.py
+++ b/poplarloft/coordination/tests/test_delivery.py
@@ -37,7 +37,7 @@
 
     def _sender(self):
         return coordination.LotRunner(
-            self.clock, "lot", LOT, coordination.QuantileRedispatch(), 1
+            self.clock, "lot", LOT, coordination.RateRedispatch(), 1
         )
 
     @stateful.rule(number=strategies.integers(0, 1))
--- a/poplarloft/coordination/weights.py
+++ b/poplarloft/coordination/weights.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+import math
 
 from poplarloft import state
 
@@ -213,7 +214,7 @@
     def _switches(self) -> list[SendOrder]:
         """Return switches that leave enough engines serving."""
         total = len(self.engines)
-        must_serve = int(self.settings.min_serving_share * total)
+        must_serve = math.ceil(self.settings.min_serving_share * total)
         serving = sum(self._serves(e) for e in self.engines.values())
         waiting = [e for e in self.engines.values() if self._must_switch(e)]
         waiting.sort(key=lambda e: (e.failures, e.report.engine))
--- a/poplarloft/daemon/generation.py
+++ b/poplarloft/daemon/generation.py
@@ -45,6 +45,7 @@
     wasted_tokens: int
 
 
+Progress = abc.Callable[[int], None]
 Generation = result.Result[Generated, GenerationFailed]
 
 
@@ -76,7 +77,10 @@
         self.timeout_ms = timeout_ms
 
     async def generate(
-        self, service: str, order: coordination.GenerateSample
+        self,
+        service: str,
+        order: coordination.GenerateSample,
+        on_progress: Progress,
     ) -> Generation:
         """Stream one sample from an engine of `service`."""
         candidates = self._fresh_candidates(service, order.min_version)
@@ -90,7 +94,9 @@
         name = self.policy.choose(request, candidates).name
         ticket = self.upstreams.load.on_dispatch(name, request)
         try:
-            return await self._stream(self.upstreams.find(name), order)
+            return await self._stream(
+                self.upstreams.find(name), order, on_progress
+            )
         finally:
             self.upstreams.load.on_done(name, ticket)
 
@@ -124,14 +130,17 @@
         return fresh
 
     async def _stream(
-        self, upstream: state.Upstream, order: coordination.GenerateSample
+        self,
+        upstream: state.Upstream,
+        order: coordination.GenerateSample,
+        on_progress: Progress,
     ) -> Generation:
         slot = order.slot
         request = engine.CompletionRequest(
             prompt=order.prompt,
             max_tokens=order.max_tokens,
             priority=ROLLOUT_PRIORITY,
-            seed=_seed(slot, order.attempt),
+            seed=_seed(slot),
         )
         sent = await self.client.send(
             upstream.address,
@@ -142,13 +151,16 @@
         )
         match sent:
             case result.Success(answer):
-                return await self._collect(upstream, answer)
+                return await self._collect(upstream, answer, on_progress)
             case result.Failure(failure):
                 return _failed(failure.detail, 0)
         raise AssertionError(sent)
 
     async def _collect(
-        self, upstream: state.Upstream, answer: http_client.UpstreamAnswer
+        self,
+        upstream: state.Upstream,
+        answer: http_client.UpstreamAnswer,
+        on_progress: Progress,
     ) -> Generation:
         if answer.status != OK:
             answer.close()
@@ -168,6 +180,7 @@
                             line.engine,
                         )
                     )
+                    on_progress(len(labeller.tokens))
         except (OSError, TimeoutError, msgspec.MsgspecError) as error:
             return _failed(str(error), len(labeller.tokens))
         if not done:
@@ -229,9 +242,9 @@
                 yield engine.decode_stream_line(line)
 
 
-def _seed(slot: state.Slot, attempt: int) -> int:
-    """Return a seed that differs between the samples of a group."""
-    text = f"{slot.lot}/{slot.step}/{slot.group}/{slot.index}/{attempt}"
+def _seed(slot: state.Slot) -> int:
+    """Return a seed that differs between slots but not between copies."""
+    text = f"{slot.lot}/{slot.step}/{slot.group}/{slot.index}"
     return xxhash.xxh32_intdigest(text.encode())
 
 
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -185,6 +185,7 @@
             self.limits,
         )
         self.claims.join(joined)
+        self.weights.may_issue = membership.is_relay
         joined.start()
         return joined
 
--- a/poplarloft/daemon/rollouts.py
+++ b/poplarloft/daemon/rollouts.py
@@ -148,7 +148,7 @@
             service.clock,
             document.name,
             lot,
-            coordination.QuantileRedispatch(),
+            coordination.RateRedispatch(),
         )
         self.generations: dict[int, asyncio.Task[None]] = {}
         self.arrived = asyncio.Event()
@@ -244,7 +244,11 @@
                         task.cancel()
 
     async def _generate(self, order: coordination.GenerateSample) -> None:
-        outcome = await self.service.producer.generate(self.lot.service, order)
+        outcome = await self.service.producer.generate(
+            self.lot.service,
+            order,
+            lambda tokens: self.runner.on_progress(order.attempt, tokens),
+        )
         self.generations.pop(order.attempt, None)
         match outcome:
             case result.Success(made):
--- a/poplarloft/daemon/upstreams.py
+++ b/poplarloft/daemon/upstreams.py
@@ -20,7 +20,7 @@
 POLL_TIMEOUT_MS = 1_000
 OK = 200
 SAME_REGION_PRICE_MS = 4.0
-OTHER_REGION_PRICE_MS = 120.0
+OTHER_REGION_PRICE_MS = 250.0
 
 ReportListener = abc.Callable[[state.Upstream, engine.EngineState], None]
 SignListener = abc.Callable[[coordination.LeavingSign], None]
--- a/poplarloft/daemon/weights.py
+++ b/poplarloft/daemon/weights.py
@@ -1,6 +1,7 @@
 """Sends the orders of weight rollouts to this data centre's engines."""
 
 import asyncio
+from collections import abc
 
 import eliot
 import msgspec
@@ -15,7 +16,8 @@
 
 __all__ = ["WeightService"]
 
-LEASE_TTL_MS = 5_000
+LEASE_TTL_MS = 6_000
+LEASE_RENEW_MS = 2_000
 PLAN_INTERVAL_MS = 250
 MS_PER_S = 1_000
 OK = 200
@@ -60,6 +62,8 @@
         self.upstreams = upstream_service
         self.task_set = task_set
         self.settings = coordination.WeightSettings()
+        self.may_issue: abc.Callable[[], bool] = lambda: True
+        self.renewed_at_ms: dict[str, int] = {}
         self.rollouts: dict[str, coordination.WeightRollout] = {}
         upstream_service.report_listeners.append(self._on_report)
 
@@ -77,7 +81,8 @@
     async def _run_once(
         self, service: str, rollout: coordination.WeightRollout
     ) -> None:
-        if rollout.is_done() and rollout.fence is None:
+        if not rollout.engines or not self.may_issue():
+            rollout.on_lease(None)
             return
         await self._renew_lease(service, rollout)
         for order in rollout.plan():
@@ -86,13 +91,27 @@
     async def _renew_lease(
         self, service: str, rollout: coordination.WeightRollout
     ) -> None:
+        """Keep the lease, also between rollouts.
+
+        An issuer that has just taken it must wait out its predecessor's
+        orders; one that keeps it can start at once.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms - self.renewed_at_ms.get(service, -LEASE_RENEW_MS) < (
+            LEASE_RENEW_MS
+        ):
+            return
+        self.renewed_at_ms[service] = now_ms
         name = f"weights/{service}/{self.place.data_centre}"
         leased = await self.store.lease(name, self.holder, LEASE_TTL_MS)
         match leased:
             case result.Success(lease):
                 rollout.on_lease(lease)
-            case _:
-                rollout.on_lease(None)
+            case result.Failure(refusal):
+                # In an outage the last fencing number stays in use: what
+                # an order does wrong is found by reading back.
+                if refusal.reason is state.Reason.CONFLICT:
+                    rollout.on_lease(None)
 
     async def _send(
         self,
