--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,9 +11,12 @@
 EXPERIMENTS = (
     "admission",
     "claims",
+    "idle",
     "membership",
     "poison",
+    "relay",
     "routing",
+    "slopes",
     "stragglers",
     "weights",
 )
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,242 @@
+"""State, processor time and message sizes against the numbers of things.
+
+Bytes are counted by the allocator's own trace, processor time by the
+process's clock; times vary between machines, bytes and message sizes do
+not. docs/CAPACITY.md is worked out from this output.
+"""
+
+from collections import abc
+import random
+import sys
+import time
+import tracemalloc
+import typing
+
+from poplarloft import coordination
+from poplarloft.protocol import documents
+from poplarloft.protocol import engine
+from poplarloft.protocol import ledgers
+from poplarloft.protocol import peers
+from poplarloft.protocol import pulls
+from poplarloft import state
+
+__all__ = ["run"]
+
+UPSTREAMS = (100, 570, 5_700)
+MEMBERS = (42, 120, 420)
+CLAIMS = (500, 2_500, 10_000)
+SLOTS = (128, 512, 1_024)
+DOCUMENTS = (10, 100, 500)
+REPEATS = 20
+MICROSECONDS_PER_S = 1_000_000
+
+
+def run(seed: int, small: bool) -> dict[str, typing.Any]:
+    """Return a row per subject and size."""
+    measures: list[tuple[str, typing.Any, tuple[int, ...]]] = [
+        ("upstreams", _measure_upstreams, UPSTREAMS),
+        ("members", _measure_members, MEMBERS),
+        ("claims", _measure_claims, CLAIMS),
+        ("slots", _measure_slots, SLOTS),
+        ("documents", _measure_documents, DOCUMENTS),
+    ]
+    rows = []
+    for name, measure, sizes in measures:
+        for size in sizes[:1] if small else sizes:
+            print(f"{size} {name}", file=sys.stderr)
+            rng = random.Random(seed)
+            rows.append({"subject": name, "size": size, **measure(rng, size)})
+    return {"experiment": "slopes", "seed": seed, "rows": rows}
+
+
+def _microseconds(action: abc.Callable[[], object]) -> float:
+    """Return the processor time of one call, the least of several."""
+    times = []
+    for _ in range(REPEATS):
+        begun_s = time.process_time()
+        action()
+        times.append(time.process_time() - begun_s)
+    return round(MICROSECONDS_PER_S * min(times), 1)
+
+
+def _bytes_of(build: abc.Callable[[], typing.Any]) -> tuple[typing.Any, int]:
+    """Return what `build` makes and the memory that it keeps."""
+    tracemalloc.start()
+    made = build()
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return made, kept
+
+
+def _upstream(number: int) -> state.Upstream:
+    return state.Upstream(
+        f"engine-{number}",
+        1,
+        "pool",
+        state.UpstreamKind.ENGINE,
+        state.Address("10.0.0.1", 1_000 + number % 60_000),
+        state.Place(f"region-{number % 4}", f"centre-{number % 10}"),
+    )
+
+
+def _measure_upstreams(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    clock = state.ManualClock(10_000)
+
+    def build() -> typing.Any:
+        registry = coordination.UpstreamRegistry(clock)
+        registry.on_list(tuple(_upstream(n) for n in range(size)))
+        view = coordination.LoadView(clock)
+        for number in range(size):
+            view.on_report(_report(number))
+        return registry, view
+
+    (registry, view), kept = _bytes_of(build)
+    policy = coordination.ScoredTwoChoices(rng)
+    request = coordination.RouteRequest(tuple(range(16)), 256)
+
+    def choose() -> None:
+        candidates = [
+            view.candidate(u.name, 0.0) for u in registry.eligible("pool")
+        ]
+        policy.choose(request, candidates)
+
+    answer = engine.EngineState(
+        engine="engine-1#1",
+        age_ms=5,
+        running=4,
+        queued_tokens=900,
+        weight_version=17,
+        cached_prefixes=list(range(64)),
+    )
+    data = engine.encode(answer)
+    return {
+        "bytes_each": round(kept / size),
+        "choose_us": _microseconds(choose),
+        "report_bytes": len(data),
+        "report_us": _microseconds(
+            lambda: engine.load_report(
+                "engine-1", engine.decode_engine_state(data), 10_000
+            )
+        ),
+    }
+
+
+def _report(number: int) -> state.LoadReport:
+    cached = frozenset(range(number, number + 64))
+    return state.LoadReport(f"engine-{number}", 9_990, 4, 900, 17, cached)
+
+
+def _member(number: int) -> state.MemberRecord:
+    address = state.Address("10.0.0.1", 1_000 + number)
+    return state.MemberRecord(
+        f"entry-{number}",
+        1_764_832_800_000,
+        0,
+        state.MemberStatus.ALIVE,
+        address,
+        address,
+        state.Place(f"region-{number % 4}", f"centre-{number % 10}"),
+    )
+
+
+def _measure_members(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    clock = state.ManualClock(10_000)
+
+    def build() -> coordination.Membership:
+        view = coordination.Membership(
+            clock, rng, _member(0), coordination.RumourStore()
+        )
+        for number in range(1, size):
+            view.on_rumour(_member(number))
+        return view
+
+    view, kept = _bytes_of(build)
+    view.store.fresh.clear()
+    empty = coordination.SendPing("entry-1", 7, "", ())
+    full = coordination.SendPing(
+        "entry-1", 7, "", tuple(_member(n) for n in range(4))
+    )
+    digest = coordination.SendDigest("entry-1", view.store.digest())
+    data = peers.encode_peer("entry-0", full)
+
+    def round_of_gossip() -> None:
+        clock.advance(view.settings.interval_ms)
+        view.tick()
+
+    return {
+        "bytes_each": round(kept / size),
+        "tick_us": _microseconds(round_of_gossip),
+        "empty_ping_bytes": len(peers.encode_peer("entry-0", empty)),
+        "full_ping_bytes": len(data),
+        "digest_bytes": len(peers.encode_peer("entry-0", digest)),
+        "decode_us": _microseconds(lambda: peers.decode_peer(data)),
+    }
+
+
+def _measure_claims(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    claims = {
+        rng.randbytes(16): state.Claim(
+            rng.getrandbits(63), f"entry-{n % 8}#1764832800000"
+        )
+        for n in range(size)
+    }
+    ledger, kept = _bytes_of(lambda: state.Ledger(1, dict(claims)))
+    data = ledgers.encode_ledger(ledger)
+    return {
+        "stored_bytes_each": round(len(data) / size, 1),
+        "encode_us": _microseconds(lambda: ledgers.encode_ledger(ledger)),
+        "decode_us": _microseconds(lambda: ledgers.decode_ledger(data)),
+    }
+
+
+def _measure_slots(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    lot = state.LotBody(
+        "pool", "m", "s", ("p",), size // 8, 8, 100, 2, idle_weight=3.0
+    )
+    clock = state.ManualClock(10_000)
+    tokens = tuple(range(400))
+
+    def build() -> coordination.LotRunner:
+        runner = coordination.LotRunner(
+            clock, "lot", lot, coordination.NoRedispatch()
+        )
+        runner.on_pull(state.Holdings("t#1", 0, 0))
+        for action in runner.plan(size):
+            assert isinstance(action, coordination.GenerateSample)
+            spans = (state.Span(0, 0, 399),)
+            runner.on_generated(action.attempt, tokens, spans, "e#1")
+            runner.on_scored(action.attempt, 0.5)
+        return runner
+
+    runner, kept = _bytes_of(build)
+    offer = runner.on_pull(state.Holdings("t#1", 0, 0))
+    answer = pulls.encode_pull_answer("lot", 0, offer.samples)
+    return {
+        "bytes_each_without_tokens": round(kept / size),
+        "plan_us": _microseconds(lambda: runner.plan(0)),
+        "answer_bytes_each_400_tokens": round(len(answer) / size),
+        "encode_answer_us": _microseconds(
+            lambda: pulls.encode_pull_answer("lot", 0, offer.samples)
+        ),
+    }
+
+
+def _measure_documents(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    parts = tuple(
+        state.Document(
+            state.DocumentKind.ROUTE,
+            "red-peritos",
+            f"route-{n}",
+            state.RouteBody("app"),
+        )
+        for n in range(size)
+    )
+    head = state.Configuration(1, parts)
+    data = documents.encode_head(head)
+    _, kept = _bytes_of(lambda: documents.decode_head(data))
+    return {
+        "stored_bytes_each": round(len(data) / size),
+        "bytes_each": round(kept / size),
+        "decode_us": _microseconds(lambda: documents.decode_head(data)),
+        "encode_us": _microseconds(lambda: documents.encode_head(head)),
+    }
--- a/poplarloft/daemon/fleet.py
+++ b/poplarloft/daemon/fleet.py
@@ -60,7 +60,7 @@
 
     def start(self) -> None:
         """Begin to receive, probe and join."""
-        self.task_set.spawn(self.sockets.run())
+        self.sockets.start()
         self.task_set.spawn(self._join())
         self._on_wake()
 
--- a/poplarloft/protocol/settings.py
+++ b/poplarloft/protocol/settings.py
@@ -141,7 +141,7 @@
         description="Longest time to finish requests in flight, in ms",
     )
     poll_interval_ms: int = pydantic.Field(
-        default=500,
+        default=1_000,
         ge=10,
         le=60_000,
         description="Time between polls of the platform and engines, in ms",
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -4,11 +4,11 @@
 requests with timeouts allow.
 """
 
+import asyncio
 from collections import abc
 import dataclasses
 
 import zmq
-import zmq.asyncio
 import zmq.auth.asyncio
 
 from poplarloft import state
@@ -52,8 +52,8 @@
     ) -> None:
         self.on_message = on_message
         self.keys = keys
-        self.context = zmq.asyncio.Context()
-        self.receiver: zmq.asyncio.Socket | None = None
+        self.context = zmq.Context()
+        self.receiver: zmq.Socket[bytes] | None = None
         self.senders: dict[state.Address, zmq.Socket[bytes]] = {}
         self.authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
         self.sent_bytes = 0
@@ -62,7 +62,7 @@
 
     def bind(self, address: state.Address) -> state.Address:
         """Listen on `address`; return it with the port that was bound."""
-        receiver = self.context.socket(zmq.PULL)
+        receiver: zmq.Socket[bytes] = self.context.socket(zmq.PULL)
         receiver.setsockopt(zmq.LINGER, 0)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self._secure_receiver(receiver)
@@ -74,11 +74,26 @@
         self.receiver = receiver
         return state.Address(address.host, port)
 
-    async def run(self) -> None:
-        """Receive until cancelled."""
+    def start(self) -> None:
+        """Begin to receive on the running loop."""
         assert self.receiver is not None
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self.receiver.fileno(), self._on_readable)
+        loop.call_soon(self._on_readable)
+
+    def _on_readable(self) -> None:
+        """Take all that has arrived.
+
+        The descriptor tells of changes only, so nothing may be left.
+        """
+        if self.receiver is None:
+            return
         while True:
-            self.on_message(await self.receiver.recv())
+            try:
+                data = self.receiver.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self.on_message(data)
 
     def send(
         self,
@@ -108,8 +123,10 @@
         """Close all sockets."""
         for address in list(self.senders):
             self.forget(address)
-        if self.receiver is not None:
-            self.receiver.close(linger=0)
+        receiver, self.receiver = self.receiver, None
+        if receiver is not None:
+            asyncio.get_running_loop().remove_reader(receiver.fileno())
+            receiver.close(linger=0)
         if self.authenticator is not None:
             self.authenticator.stop()
         self.context.term()
@@ -117,8 +134,7 @@
     def _connect(
         self, address: state.Address, server_key: bytes | None
     ) -> "zmq.Socket[bytes]":
-        # A plain socket: sends never wait, so the loop need not watch it.
-        sender: zmq.Socket[bytes] = zmq.Socket(self.context, zmq.PUSH)
+        sender: zmq.Socket[bytes] = self.context.socket(zmq.PUSH)
         sender.setsockopt(zmq.LINGER, 0)
         sender.setsockopt(zmq.SNDHWM, QUEUE_LIMIT)
         # Nothing is queued for a peer that can't be reached.
@@ -131,7 +147,7 @@
         sender.connect(f"tcp://{address.host}:{address.port}")
         return sender
 
-    def _secure_receiver(self, receiver: zmq.asyncio.Socket) -> None:
+    def _secure_receiver(self, receiver: "zmq.Socket[bytes]") -> None:
         if self.keys is None:
             return
         self.authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
