Book usage once; prove fleets as processes

Cause: owners could not see their shares. Process tests of partitions found that the proxy's faults had never been set: its control path was the one that every stand-in takes for its own faults, so an earlier test on lost key-value answers had run without them.

Change: usage meters, merge by maximum, a hash-chained ledger, and commands to show, verify and export it; the proxy has a path of its own and answers with the faults that are in force, which the tests compare. Faults that the tests then found, each now covered: a trainer cut off from a living coordinator got nothing (it may insist now); weights stood still when the issuer died in an outage (the first relay goes on under the engines' fencing number); failed orders were repeated and logged without a pause; a full pipe of log lines blocked a daemon under test.

--- a/poplarloft/client/rollouts.py
+++ b/poplarloft/client/rollouts.py
@@ -52,6 +52,7 @@
         self.file = file
         self.client = http_client.HttpClient()
         self.position = 0
+        self.failures = 0
         if file is not None:
             file.restore(collector)
             if not collector.held:
@@ -97,16 +98,26 @@
             "POST",
             f"/v1/lots/{collector.lot}/pull",
             [("authorization", f"Bearer {self.token}")],
-            pulls.encode_pull_request(pull),
+            pulls.encode_pull_request(pull, insist=self._insists()),
             PULL_TIMEOUT_MS,
         )
         match sent:
             case result.Success(answer):
                 if await self._take(answer):
+                    self.failures = 0
                     return
         self.position += 1
+        self.failures += 1
         await asyncio.sleep(RETRY_MS / MS_PER_S)
 
+    def _insists(self) -> bool:
+        """Tell whether each daemon has failed, the coordinator too.
+
+        The coordinator may be alive and yet cut off from this trainer;
+        another one then costs double work, never a wrong delivery.
+        """
+        return self.failures >= len(self.addresses)
+
     async def _take(self, answer: http_client.UpstreamAnswer) -> bool:
         """Take the samples of an answer; tell whether it was one."""
         try:
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -91,6 +91,11 @@
 from poplarloft.coordination.upstreams import LeavingSign
 from poplarloft.coordination.upstreams import SignSource
 from poplarloft.coordination.upstreams import UpstreamRegistry
+from poplarloft.coordination.usage import ledger_totals
+from poplarloft.coordination.usage import owner_shares
+from poplarloft.coordination.usage import usage_writer
+from poplarloft.coordination.usage import UsageBook
+from poplarloft.coordination.usage import UsageMeter
 from poplarloft.coordination.weights import EngineReport
 from poplarloft.coordination.weights import OrderKind
 from poplarloft.coordination.weights import SendOrder
@@ -137,6 +142,7 @@
     "Labeller",
     "LeastLoaded",
     "LeavingSign",
+    "ledger_totals",
     "LoadView",
     "LotAction",
     "LotRunner",
@@ -147,6 +153,7 @@
     "NoRedispatch",
     "Offer",
     "OrderKind",
+    "owner_shares",
     "planned_staleness",
     "PoisonGuard",
     "PoisonSettings",
@@ -187,6 +194,9 @@
     "TokenBucket",
     "TryAgain",
     "UpstreamRegistry",
+    "usage_writer",
+    "UsageBook",
+    "UsageMeter",
     "verdict_of",
     "WeightRollout",
     "WeightSettings",
--- a/poplarloft/coordination/membership.py
+++ b/poplarloft/coordination/membership.py
@@ -202,6 +202,10 @@
         """Tell whether this member speaks for its data centre."""
         return self.me.name in self.relays_of(self.me.place.data_centre)
 
+    def is_first_relay(self) -> bool:
+        """Tell whether this member is the first relay of its place."""
+        return self.relays_of(self.me.place.data_centre)[:1] == [self.me.name]
+
     def next_wake_ms(self) -> int:
         """Return when `tick` has something to do."""
         times = [self.next_probe_ms]
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -19,6 +19,8 @@
 SERVICE_UNAVAILABLE = 503
 CRASH_CHECK_MS = 300
 HEAD_START_MS = 20
+PURPOSE_ANSWERED = "answered"
+PURPOSE_FAILED = "failed"
 MS_PER_S = 1_000
 HOP_BY_HOP = frozenset(
     {
@@ -72,6 +74,31 @@
         return (self.owner, self.route_name)
 
 
+@dataclasses.dataclass(slots=True)
+class _Flight:
+    """One attempt in flight; called once when it has ended."""
+
+    dispatcher: "Dispatcher"
+    call: RelayCall
+    upstream: state.Upstream
+    load_ticket: int
+    guard_ticket: int
+    started_at_ms: int
+    purpose: str = PURPOSE_FAILED
+
+    def __call__(self) -> None:
+        name, incarnation = self.upstream.name, self.upstream.incarnation
+        dispatcher = self.dispatcher
+        dispatcher.upstreams.load.on_done(name, self.load_ticket)
+        dispatcher.guard.on_done(name, incarnation, self.guard_ticket)
+        dispatcher.meter.add(
+            self.call.owner,
+            self.upstream.kind.value,
+            self.purpose,
+            dispatcher.clock.now_ms() - self.started_at_ms,
+        )
+
+
 class Dispatcher:
     """Attempts at upstreams: choice, health, crashes, retries.
 
@@ -89,6 +116,8 @@
         Suspects and quarantines.
     spread : callable
         Puts strikes and quarantines into the gossip.
+    meter : coordination.UsageMeter
+        Books upstream time to owners.
     """
 
     def __init__(
@@ -99,6 +128,7 @@
         policy: coordination.RoutingPolicy,
         guard: coordination.PoisonGuard,
         spread: RumourSink,
+        meter: coordination.UsageMeter,
     ) -> None:
         self.clock = clock
         self.upstreams = upstream_service
@@ -106,6 +136,7 @@
         self.policy = policy
         self.guard = guard
         self.spread = spread
+        self.meter = meter
         self.health = coordination.HealthBook(clock)
         self.budgets: dict[tuple[str, str], coordination.RetryBudget] = {}
 
@@ -167,6 +198,7 @@
         outcome = await self._send(call, upstream)
         match outcome:
             case result.Success(http.HttpResponse(body=body) as response):
+                finish.purpose = PURPOSE_ANSWERED
                 self.health.on_success(name)
                 if not isinstance(body, bytes):
                     watched = self._watch_stream(body, upstream, finish)
@@ -188,25 +220,23 @@
         call: RelayCall,
         upstream: state.Upstream,
         route_request: coordination.RouteRequest,
-    ) -> abc.Callable[[], None]:
-        """Count a request in flight; return what ends the count."""
+    ) -> "_Flight":
+        """Count a request in flight; the result ends the count."""
         name, incarnation = upstream.name, upstream.incarnation
-        load_ticket = self.upstreams.load.on_dispatch(name, route_request)
-        guard_ticket = self.guard.on_dispatch(
-            name, incarnation, call.fingerprint
+        return _Flight(
+            self,
+            call,
+            upstream,
+            self.upstreams.load.on_dispatch(name, route_request),
+            self.guard.on_dispatch(name, incarnation, call.fingerprint),
+            self.clock.now_ms(),
         )
 
-        def finish() -> None:
-            self.upstreams.load.on_done(name, load_ticket)
-            self.guard.on_done(name, incarnation, guard_ticket)
-
-        return finish
-
     async def _watch_stream(
         self,
         body: abc.AsyncIterator[bytes],
         upstream: state.Upstream,
-        finish: abc.Callable[[], None],
+        finish: "_Flight",
     ) -> abc.AsyncIterator[bytes]:
         """Yield a streamed body; take its break for a possible crash."""
         try:
--- a/poplarloft/daemon/frontend.py
+++ b/poplarloft/daemon/frontend.py
@@ -6,6 +6,7 @@
 from poplarloft.daemon import relay
 from poplarloft.protocol import http
 from poplarloft.protocol import operators as messages
+from poplarloft.protocol import usage as usage_form
 from poplarloft import state
 
 if typing.TYPE_CHECKING:
@@ -84,6 +85,8 @@
                 return await self.operators.dispute(
                     owner, proposal_id, request
                 )
+            case "GET", ["usage"]:
+                return await self._usage()
             case "POST", ["drain"]:
                 self.node.stop_requested.set()
                 return http.json_response(202, {"draining": True})
@@ -100,6 +103,18 @@
             "the instance has no configuration yet or is shutting down",
         )
 
+    async def _usage(self) -> http.HttpResponse:
+        """Return the data centre's ledger, which both owners may read."""
+        entries = await self.node.usage.entries()
+        if entries is None:
+            return operators.refuse(
+                state.Reason.NOT_READY, "the usage ledger can't be read"
+            )
+        body = usage_form.encode_segment(state.UsageSegment(tuple(entries)))
+        return http.HttpResponse(
+            200, (("content-type", "application/json"),), body
+        )
+
     def _status(self) -> messages.InstanceStatus:
         node = self.node
         phase = node.shutdown.phase(self.in_flight)
--- a/poplarloft/daemon/generation.py
+++ b/poplarloft/daemon/generation.py
@@ -22,6 +22,8 @@
 SCORE_RETRY_MS = 200
 SCORE_RETRY_LIMIT_MS = 5_000
 CHARS_PER_TOKEN = 4
+PURPOSE_ROLLOUT = "rollout"
+PURPOSE_WASTE = "waste"
 MS_PER_S = 1_000
 
 
@@ -60,6 +62,8 @@
         Eligible engines and scorers.
     policy : coordination.RoutingPolicy
         Chooses among engines.
+    meter : coordination.UsageMeter
+        Books engine time to the lots' owners.
     timeout_ms : int
         Longest time for one generation.
     """
@@ -69,20 +73,23 @@
         client: http_client.HttpClient,
         upstream_service: upstreams.UpstreamService,
         policy: coordination.RoutingPolicy,
+        meter: coordination.UsageMeter,
         timeout_ms: int = 600_000,
     ) -> None:
         self.client = client
         self.upstreams = upstream_service
         self.policy = policy
+        self.meter = meter
         self.timeout_ms = timeout_ms
 
     async def generate(
         self,
+        owner: str,
         service: str,
         order: coordination.GenerateSample,
         on_progress: Progress,
     ) -> Generation:
-        """Stream one sample from an engine of `service`."""
+        """Stream one sample from an engine of `service` for `owner`."""
         candidates = self._fresh_candidates(service, order.min_version)
         if not candidates:
             return _failed("no engine serves a fresh enough version", 0)
@@ -92,13 +99,23 @@
             order.max_tokens,
         )
         name = self.policy.choose(request, candidates).name
-        ticket = self.upstreams.load.on_dispatch(name, request)
+        load = self.upstreams.load
+        ticket = load.on_dispatch(name, request)
+        begun_ms = load.clock.now_ms()
+        purpose = PURPOSE_WASTE
         try:
-            return await self._stream(
+            generation = await self._stream(
                 self.upstreams.find(name), order, on_progress
             )
+            if isinstance(generation, result.Success):
+                purpose = PURPOSE_ROLLOUT
+            return generation
         finally:
-            self.upstreams.load.on_done(name, ticket)
+            load.on_done(name, ticket)
+            busy_ms = load.clock.now_ms() - begun_ms
+            self.meter.add(
+                owner, state.UpstreamKind.ENGINE.value, purpose, busy_ms
+            )
 
     async def score(
         self, service: str, order: coordination.ScoreSample
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -19,6 +19,7 @@
 from poplarloft.daemon import rollouts
 from poplarloft.daemon import tasks
 from poplarloft.daemon import upstreams
+from poplarloft.daemon import usage
 from poplarloft.daemon import weights
 from poplarloft.protocol import addresses
 from poplarloft.protocol import settings as settings_module
@@ -70,6 +71,14 @@
         self.configuration = configuration.ConfigurationService(
             self.store, str(self.incarnation), self.wall_clock, self.task_set
         )
+        self.meter = coordination.UsageMeter(self.incarnation)
+        self.usage = usage.UsageService(
+            self.store,
+            self.meter,
+            self.wall_clock,
+            settings.data_centre,
+            settings.usage_flush_ms,
+        )
         self.upstreams = self._make_upstreams()
         self.claims = self._make_claims()
         self.policy = coordination.ROUTING_POLICIES[settings.routing_policy](
@@ -118,10 +127,12 @@
         self.task_set.spawn(self.configuration.watch())
         self.task_set.spawn(self.upstreams.run())
         self.task_set.spawn(self.weights.run())
+        self.task_set.spawn(self.usage.run())
         eliot.log_message(
             "started",
             incarnation=str(self.incarnation),
             address=str(self.address),
+            peer_address=str(self.fleet.membership.me.peer_address),
         )
         return self.address
 
@@ -134,6 +145,8 @@
         if self.fleet is not None:
             self.fleet.leave()
         cut = await self.server.drain(self.settings.drain_timeout_ms)
+        self.usage.tell()
+        await self.usage.flush()
         await self.task_set.cancel_all()
         self.sockets.close()
         self.client.close()
@@ -185,7 +198,9 @@
             self.limits,
         )
         self.claims.join(joined)
+        self.usage.join(joined)
         self.weights.may_issue = membership.is_relay
+        self.weights.is_first = membership.is_first_relay
         joined.start()
         return joined
 
@@ -225,6 +240,7 @@
             self.policy,
             self.guard,
             self._spread,
+            self.meter,
         )
         self.admission = coordination.Admission(
             self.clock,
@@ -250,7 +266,7 @@
 
     def _make_rollouts(self) -> rollouts.RolloutService:
         producer = generation.SampleProducer(
-            self.client, self.upstreams, self.policy
+            self.client, self.upstreams, self.policy, self.meter
         )
         return rollouts.RolloutService(
             self.clock,
--- a/poplarloft/daemon/rollouts.py
+++ b/poplarloft/daemon/rollouts.py
@@ -25,6 +25,7 @@
 PULL_WAIT_MS = 500
 PLAN_INTERVAL_MS = 100
 STREAMS_PER_ENGINE = 8
+FAILURE_HOLD_MS = 200
 MS_PER_S = 1_000
 
 
@@ -86,7 +87,7 @@
         """Answer ``POST /v1/lots/{name}/pull``."""
         try:
             headers = http.parse_caller_headers(request.headers)
-            holdings = pulls.decode_pull_request(request.body)
+            holdings, insist = pulls.decode_pull_request(request.body)
         except errors.FieldError as error:
             return _refuse(state.Reason.BAD_REQUEST, str(error))
         document = self.configuration.current.find(
@@ -106,7 +107,7 @@
             )
         driver = self._driver(document)
         other = await driver.ensure_lease()
-        if other is not None:
+        if other is not None and not insist:
             return _refuse(state.Reason.CONFLICT, other)
         samples = await driver.pull(holdings)
         body = pulls.encode_pull_answer(name, holdings.step, samples)
@@ -153,6 +154,8 @@
         self.generations: dict[int, asyncio.Task[None]] = {}
         self.arrived = asyncio.Event()
         self.lease_checked_ms: int | None = None
+        self.failures = 0
+        self.held_until_ms = 0
         self.planning = False
         self.stopped = False
 
@@ -220,7 +223,8 @@
             await asyncio.sleep(PLAN_INTERVAL_MS / MS_PER_S)
 
     def _plan(self) -> None:
-        if not self.stopped:
+        held = self.service.clock.now_ms() < self.held_until_ms
+        if not self.stopped and not held:
             self._perform(self.runner.plan(self._free_streams()))
 
     def _free_streams(self) -> int:
@@ -245,6 +249,7 @@
 
     async def _generate(self, order: coordination.GenerateSample) -> None:
         outcome = await self.service.producer.generate(
+            self.document.owner,
             self.lot.service,
             order,
             lambda tokens: self.runner.on_progress(order.attempt, tokens),
@@ -264,11 +269,21 @@
                 self.runner.on_generation_failed(
                     order.attempt, failed.wasted_tokens
                 )
-                eliot.log_message(
-                    "generation-failed",
-                    lot=self.document.name,
-                    reason=failed.reason,
-                )
+                self._note_failure(failed.reason)
+
+    def _note_failure(self, reason: str) -> None:
+        """Hold further orders for a moment; log the first of a series."""
+        now_ms = self.service.clock.now_ms()
+        self.failures += 1
+        if now_ms < self.held_until_ms:
+            return
+        self.held_until_ms = now_ms + FAILURE_HOLD_MS
+        eliot.log_message(
+            "generations-failed",
+            lot=self.document.name,
+            reason=reason,
+            failures=self.failures,
+        )
 
     async def _score(self, order: coordination.ScoreSample) -> None:
         score = await self.service.producer.score(self.lot.scorer, order)
--- a/poplarloft/daemon/weights.py
+++ b/poplarloft/daemon/weights.py
@@ -63,6 +63,8 @@
         self.task_set = task_set
         self.settings = coordination.WeightSettings()
         self.may_issue: abc.Callable[[], bool] = lambda: True
+        self.is_first: abc.Callable[[], bool] = lambda: True
+        self.fences: dict[str, int] = {}
         self.renewed_at_ms: dict[str, int] = {}
         self.rollouts: dict[str, coordination.WeightRollout] = {}
         upstream_service.report_listeners.append(self._on_report)
@@ -108,10 +110,24 @@
             case result.Success(lease):
                 rollout.on_lease(lease)
             case result.Failure(refusal):
-                # In an outage the last fencing number stays in use: what
-                # an order does wrong is found by reading back.
                 if refusal.reason is state.Reason.CONFLICT:
                     rollout.on_lease(None)
+                elif rollout.fence is None and self.is_first():
+                    self._go_on_without_lease(service, rollout)
+
+    def _go_on_without_lease(
+        self, service: str, rollout: coordination.WeightRollout
+    ) -> None:
+        """Issue under the engines' own fencing number in an outage.
+
+        A holder that is still alive may issue too. What either does
+        wrong is found by reading back, and targets only grow.
+        """
+        fence = self.fences.get(service, 0)
+        eliot.log_message("weights-without-lease", service=service)
+        rollout.on_lease(
+            state.Lease(service, self.holder, fence, LEASE_TTL_MS)
+        )
 
     async def _send(
         self,
@@ -158,6 +174,8 @@
         if upstream.place.data_centre != self.place.data_centre:
             return
         rollout = self._rollout(upstream.service)
+        known = self.fences.get(upstream.service, 0)
+        self.fences[upstream.service] = max(known, answer.fence)
         if not self.upstreams.registry.is_eligible(upstream):
             rollout.on_gone(upstream.name)
             return
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -40,6 +40,7 @@
 from poplarloft.protocol.http import parse_caller_headers
 from poplarloft.protocol.http import problem_response
 from poplarloft.protocol.http import request_fingerprint
+from poplarloft.protocol.http import with_end
 from poplarloft.protocol.ledgers import decode_ledger
 from poplarloft.protocol.ledgers import encode_ledger
 from poplarloft.protocol.ledgers import ledger_key
@@ -71,9 +72,18 @@
 from poplarloft.protocol.settings import DaemonSettings
 from poplarloft.protocol.settings import load_settings
 from poplarloft.protocol.settings import settings_reference
+from poplarloft.protocol.usage import append_entry
+from poplarloft.protocol.usage import decode_segment
+from poplarloft.protocol.usage import encode_segment
+from poplarloft.protocol.usage import ENTRIES_PER_SEGMENT
+from poplarloft.protocol.usage import export_csv
+from poplarloft.protocol.usage import find_fault
+from poplarloft.protocol.usage import LedgerFault
+from poplarloft.protocol.usage import segment_key
 
 __all__ = [
     "AddressText",
+    "append_entry",
     "bearer_digest",
     "CallerHeaders",
     "canonical_bytes",
@@ -93,6 +103,7 @@
     "decode_pull_request",
     "decode_reason",
     "decode_score",
+    "decode_segment",
     "decode_stream_line",
     "document_schema",
     "encode",
@@ -103,10 +114,14 @@
     "encode_peer",
     "encode_pull_answer",
     "encode_pull_request",
+    "encode_segment",
     "EngineState",
+    "ENTRIES_PER_SEGMENT",
     "Envelope",
+    "export_csv",
     "FieldError",
     "find_caller",
+    "find_fault",
     "find_operator",
     "first_field_error",
     "HEAD_KEY",
@@ -120,6 +135,7 @@
     "LeaseRequest",
     "LEAVING_HEADER",
     "ledger_key",
+    "LedgerFault",
     "load_report",
     "load_settings",
     "LotRow",
@@ -140,8 +156,10 @@
     "request_fingerprint",
     "ScoreAnswer",
     "ScoreRequest",
+    "segment_key",
     "settings_reference",
     "StreamLine",
     "UpstreamRow",
     "WeightOrder",
+    "with_end",
 ]
--- a/poplarloft/protocol/pulls.py
+++ b/poplarloft/protocol/pulls.py
@@ -18,12 +18,16 @@
 
 
 class PullRequest(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """A trainer's pull; `held` maps groups to ranges of indexes."""
+    """A trainer's pull; `held` maps groups to ranges of indexes.
+
+    `insist` asks for samples even if another instance coordinates.
+    """
 
     trainer: str
     step: int
     weight_version: int
     held: dict[int, list[tuple[int, int]]] = {}
+    insist: bool = False
 
 
 class SampleRecord(msgspec.Struct, array_like=True):
@@ -49,19 +53,22 @@
 _ANSWER = msgspec.json.Decoder(PullAnswer)
 
 
-def encode_pull_request(holdings: state.Holdings) -> bytes:
+def encode_pull_request(
+    holdings: state.Holdings, insist: bool = False
+) -> bytes:
     """Return the wire form of a pull."""
     request = PullRequest(
         trainer=holdings.trainer,
         step=holdings.step,
         weight_version=holdings.weight_version,
         held=_to_ranges(holdings.held),
+        insist=insist,
     )
     return msgspec.json.encode(request)
 
 
-def decode_pull_request(data: bytes) -> state.Holdings:
-    """Return the holdings that a pull names.
+def decode_pull_request(data: bytes) -> tuple[state.Holdings, bool]:
+    """Return the holdings that a pull names, and whether it insists.
 
     Raises
     ------
@@ -77,9 +84,10 @@
         if value < 0:
             raise errors.FieldError(field, f"expected >= 0, got {value}")
     held = frozenset(_from_ranges(request.held))
-    return state.Holdings(
+    holdings = state.Holdings(
         request.trainer, request.step, request.weight_version, held
     )
+    return holdings, request.insist
 
 
 def encode_pull_answer(
--- a/poplarloft/protocol/settings.py
+++ b/poplarloft/protocol/settings.py
@@ -152,6 +152,12 @@
         le=60_000,
         description="Time between probes of other daemons, in ms",
     )
+    usage_flush_ms: int = pydantic.Field(
+        default=30_000,
+        ge=100,
+        le=86_400_000,
+        description="Time between two entries of the usage ledger, in ms",
+    )
     claim_shards: int = pydantic.Field(
         default=1,
         ge=1,
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -53,6 +53,9 @@
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
 from poplarloft.state.upstream import UpstreamStatus
+from poplarloft.state.usage import UsageEntry
+from poplarloft.state.usage import UsageSegment
+from poplarloft.state.usage import UsageTotal
 from poplarloft.state.verdict import Reason
 from poplarloft.state.verdict import Refusal
 from poplarloft.state.verdict import Verdict
@@ -107,7 +110,10 @@
     "Upstream",
     "UpstreamKind",
     "UpstreamStatus",
+    "UsageEntry",
     "UsageRumour",
+    "UsageSegment",
+    "UsageTotal",
     "Verdict",
     "Versioned",
     "WallClock",
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -170,6 +170,10 @@
         if request.path == "/control/cut":
             self.proxy.cut()
             return serving.json_answer({})
-        faults = msgspec.json.decode(request.body, type=LinkFaults)
+        if request.path != "/control/link":
+            return http.HttpResponse(404)
+        faults = msgspec.json.decode(
+            request.body, type=LinkFaults, strict=True
+        )
         self.proxy.set_faults(faults)
-        return serving.json_answer({})
+        return serving.json_answer(self.proxy.faults)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 
 from poplarloft.protocol import addresses
@@ -20,22 +21,37 @@
     """One process whose first lines of output name its addresses."""
 
     def __init__(self, *arguments, lines=1):
+        # A file takes any amount of output; a full pipe would block.
+        self.output = tempfile.NamedTemporaryFile(  # noqa: SIM115
+            suffix=".log"
+        )
         self.process = subprocess.Popen(
             [sys.executable, "-m", *map(str, arguments)],
-            stdout=subprocess.PIPE,
+            stdout=self.output,
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
         self.addresses = []
-        while len(self.addresses) < lines:
-            self._take_line(self.process.stdout.readline())
+        self.started = {}
+        with open(self.output.name, "rb") as reader:
+            while len(self.addresses) < lines:
+                self._take_line(self._next_line(reader))
+
+    def _next_line(self, reader):
+        """Return the next whole line of output."""
+        line = reader.readline()
+        while not line.endswith(b"\n"):
+            if self.process.poll() is not None:
+                raise RuntimeError("the process ended before it was ready")
+            time.sleep(0.01)
+            line += reader.readline()
+        return line
 
     def _take_line(self, line):
-        if not line:
-            raise RuntimeError("the process ended before it was ready")
         value = json.loads(line)
         if isinstance(value, dict):
             if value.get("message_type") != "started":
                 return
+            self.started = value
             value = value["address"]
         self.addresses.append(addresses.parse_address(value))
 
@@ -56,14 +72,16 @@
         self.process.send_signal(signal.SIGCONT)
 
     def wait(self, limit_s=60):
-        """Return the exit code and the rest of the output."""
-        output, _ = self.process.communicate(timeout=limit_s)
-        return self.process.returncode, output.decode()
+        """Return the exit code and all output."""
+        self.process.wait(timeout=limit_s)
+        with open(self.output.name) as reader:
+            return self.process.returncode, reader.read()
 
     def end(self):
         if self.process.poll() is None:
             self.process.kill()
-        self.process.communicate()
+        self.process.wait()
+        self.output.close()
 
 
 class Cluster:
--- a/tests/test_daemon_process.py
+++ b/tests/test_daemon_process.py
@@ -67,10 +67,12 @@
 
 
 async def set_faults(client, control, faults):
+    """Set a proxy's faults; make sure that they are set."""
     sent = await client.send(
-        control, "POST", "/control/faults", body=msgspec.json.encode(faults)
+        control, "POST", "/control/link", body=msgspec.json.encode(faults)
     )
-    await sent.unwrap().read()
+    answer = await sent.unwrap().read()
+    assert msgspec.json.decode(answer, type=proxy.LinkFaults) == faults
 
 
 async def test_rolling_restart_cuts_and_loses_nothing(cluster, client):
