--- a/poplarloft/cli/commands.py
+++ b/poplarloft/cli/commands.py
@@ -10,12 +10,14 @@
 from cleo.commands import command
 from cleo.helpers import argument
 from cleo.helpers import option
+import zmq
 
 from poplarloft.cli import api
 from poplarloft import coordination
 from poplarloft.protocol import addresses
 from poplarloft.protocol import documents
 from poplarloft.protocol import errors
+from poplarloft.protocol import keys
 from poplarloft.protocol import settings
 from poplarloft.protocol import usage
 from poplarloft import state
@@ -402,6 +404,52 @@
         return 0
 
 
+class KeysNew(command.Command):
+    """Makes a pair of CURVE keys."""
+
+    name = "keys new"
+    description = "Write new CURVE keys to a file; print the public one"
+    arguments: typing.ClassVar[list[typing.Any]] = [
+        argument("file", "File to write; it must not exist")
+    ]
+
+    def handle(self) -> int:
+        """Write the file, readable by its owner only."""
+        public, secret = zmq.curve_keypair()
+        text = keys.format_key_pair(keys.KeyPair(public, secret))
+        try:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+            descriptor = os.open(self.argument("file"), flags, 0o600)
+        except OSError as error:
+            self.line_error(f"error: {error}")
+            return EXIT_BAD_INPUT
+        with os.fdopen(descriptor, "w") as file:
+            file.write(text)
+        self.line(public.decode())
+        return 0
+
+
+class KeysShow(command.Command):
+    """Prints a public key."""
+
+    name = "keys show"
+    description = "Print the public key of a key file"
+    arguments: typing.ClassVar[list[typing.Any]] = [
+        argument("file", "The key file")
+    ]
+
+    def handle(self) -> int:
+        """Print the public key only."""
+        try:
+            text = pathlib.Path(self.argument("file")).read_text()
+            pair = keys.parse_key_pair(text)
+        except (errors.ProtocolError, OSError) as error:
+            self.line_error(f"error: {error}")
+            return EXIT_BAD_INPUT
+        self.line(pair.public.decode())
+        return 0
+
+
 class Settings(command.Command):
     """Prints the settings reference."""
 
@@ -458,6 +506,8 @@
     Demo,
     Drain,
     Histograms,
+    KeysNew,
+    KeysShow,
     Lots,
     Routes,
     Settings,
--- a/poplarloft/coordination/usage.py
+++ b/poplarloft/coordination/usage.py
@@ -73,6 +73,11 @@
         for owner, kind, purpose, busy_ms in rumour.counters:
             self._raise((incarnation, owner, kind, purpose), busy_ms)
 
+    def on_total(self, total: state.UsageTotal) -> None:
+        """Take one total, for example from a snapshot."""
+        key = (total.incarnation, total.owner, total.kind, total.purpose)
+        self._raise(key, total.busy_ms)
+
     def grown_since(
         self, booked: abc.Mapping[TotalKey, int]
     ) -> tuple[state.UsageTotal, ...]:
--- a/poplarloft/daemon/main.py
+++ b/poplarloft/daemon/main.py
@@ -25,6 +25,9 @@
     logs.start_logging(settings.name)
     try:
         asyncio.run(_run(settings))
+    except errors.FieldError as error:
+        print(f"poplarloftd: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTING)
     except OSError as error:
         print(f"poplarloftd: cannot start: {error}", file=sys.stderr)
         sys.exit(EXIT_NO_START)
@@ -35,6 +38,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload_keys)
     await node.start()
     await node.stop_requested.wait()
     await node.stop()
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -1,6 +1,7 @@
 """One daemon: its parts, wired on one loop."""
 
 import asyncio
+import pathlib
 import random
 import ssl
 
@@ -17,11 +18,13 @@
 from poplarloft.daemon import operators
 from poplarloft.daemon import relay
 from poplarloft.daemon import rollouts
+from poplarloft.daemon import snapshots
 from poplarloft.daemon import tasks
 from poplarloft.daemon import upstreams
 from poplarloft.daemon import usage
 from poplarloft.daemon import weights
 from poplarloft.protocol import addresses
+from poplarloft.protocol import keys
 from poplarloft.protocol import settings as settings_module
 from poplarloft import state
 from poplarloft.transport import http_client
@@ -95,19 +98,23 @@
             self.task_set,
         )
         self.rollouts = self._make_rollouts()
+        self.snapshots = self._make_snapshots()
         self.store_of_rumours = coordination.RumourStore()
-        self.sockets = peers.PeerSockets(self._on_peer_bytes)
+        self.sockets = peers.PeerSockets(
+            self._on_peer_bytes, self._curve_keys()
+        )
         self.fleet: fleet.FleetService | None = None
         self.stop_requested = asyncio.Event()
         self.frontend = frontend.Frontend(
             self,
             operators.OperatorApi(self.configuration, self.wall_clock),
         )
+        self.tls = self._tls_context()
         self.server = http_server.HttpServer(
             self.frontend.handle,
             self._server_limits(),
             self.relay.max_body_bytes,
-            self._tls_context(),
+            self.tls,
         )
         self.address: state.Address | None = None
 
@@ -118,6 +125,8 @@
 
     async def start(self) -> state.Address:
         """Start all parts; return the address that was bound."""
+        if self.snapshots is not None:
+            self.snapshots.restore()
         listen = addresses.parse_address(self.settings.listen)
         self.address = await self.server.start(listen)
         self.fleet = self._join_fleet(self.address)
@@ -147,6 +156,8 @@
         cut = await self.server.drain(self.settings.drain_timeout_ms)
         self.usage.tell()
         await self.usage.flush()
+        if self.snapshots is not None:
+            self.snapshots.write()
         await self.task_set.cancel_all()
         self.sockets.close()
         self.client.close()
@@ -279,6 +290,49 @@
             self.task_set,
         )
 
+    def _make_snapshots(self) -> snapshots.SnapshotService | None:
+        if self.settings.data_dir is None:
+            return None
+        return snapshots.SnapshotService(
+            pathlib.Path(self.settings.data_dir),
+            self.configuration,
+            self.guard,
+            self.usage,
+        )
+
+    def _curve_keys(self) -> peers.CurveKeys | None:
+        """Return the keys of the peer sockets, if they are set."""
+        settings = self.settings
+        if settings.curve_secret is None or settings.curve_allow is None:
+            return None
+        pair = keys.parse_key_pair(
+            pathlib.Path(settings.curve_secret).read_text()
+        )
+        allowed = keys.parse_allow_list(
+            pathlib.Path(settings.curve_allow).read_text()
+        )
+        by_place = {p.address: p.public for p in allowed if p.address}
+        by_name = {p.name: p.public for p in allowed}
+        return peers.CurveKeys(
+            pair.public,
+            pair.secret,
+            frozenset(p.public for p in allowed),
+            {**by_place, **by_name},
+        )
+
+    def reload_keys(self) -> None:
+        """Read the TLS certificate and key again, for new connections."""
+        if self.tls is None or self.settings.tls_certificate is None:
+            return
+        try:
+            self.tls.load_cert_chain(
+                self.settings.tls_certificate, self.settings.tls_key
+            )
+        except (OSError, ssl.SSLError) as error:
+            eliot.log_message("tls-reload-failed", error=str(error))
+            return
+        eliot.log_message("tls-reloaded")
+
     def _make_metrics(self) -> state.Metrics:
         if self.settings.statsd is None:
             return metrics.NoMetrics()
--- /dev/null
+++ b/poplarloft/daemon/snapshots.py
@@ -0,0 +1,81 @@
+"""Keeps the last configuration, quarantines and usage on a small disk."""
+
+import pathlib
+
+import eliot
+
+from poplarloft import coordination
+from poplarloft.daemon import configuration
+from poplarloft.daemon import tasks
+from poplarloft.daemon import usage
+from poplarloft.protocol import errors
+from poplarloft.protocol import snapshots
+from poplarloft import state
+from poplarloft.transport import disk
+
+__all__ = ["SnapshotService"]
+
+FILE_NAME = "snapshot"
+WRITE_AFTER_MS = 1_000
+
+
+class SnapshotService:
+    """Restores a snapshot at the start, writes one after changes.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        The data folder.
+    configuration_service, guard, usage_service
+        The parts whose state is kept.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        configuration_service: configuration.ConfigurationService,
+        guard: coordination.PoisonGuard,
+        usage_service: usage.UsageService,
+    ) -> None:
+        self.file = disk.AtomicFile(folder / FILE_NAME)
+        self.configuration = configuration_service
+        self.guard = guard
+        self.usage = usage_service
+        self.timer = tasks.WakeTimer(self.write)
+        configuration_service.listeners.append(self._on_head)
+
+    def restore(self) -> bool:
+        """Take what the file holds; tell whether it held something.
+
+        A torn or altered file is left out; whatever the file says, only
+        a higher revision is taken into force.
+        """
+        data = self.file.read()
+        if data is None:
+            return False
+        try:
+            snapshot = snapshots.decode_snapshot(data)
+        except errors.ProtocolError as error:
+            eliot.log_message("snapshot-unreadable", error=str(error))
+            return False
+        self.configuration.offer_bytes(snapshot.head)
+        for quarantine in snapshot.quarantines:
+            self.guard.on_rumour(quarantine)
+        for total in snapshot.usage:
+            self.usage.book.on_total(total)
+        return True
+
+    def write(self) -> None:
+        """Write a snapshot; a full disk is logged and changes nothing."""
+        snapshot = snapshots.Snapshot(
+            head=self.configuration.encoded(),
+            quarantines=list(self.guard.quarantined.values()),
+            usage=list(self.usage.book.grown_since(self.usage.booked)),
+        )
+        try:
+            self.file.replace(snapshots.encode_snapshot(snapshot))
+        except OSError as error:
+            eliot.log_message("snapshot-failed", error=str(error))
+
+    def _on_head(self, head: state.Configuration) -> None:
+        self.timer.set(WRITE_AFTER_MS)
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -41,6 +41,11 @@
 from poplarloft.protocol.http import problem_response
 from poplarloft.protocol.http import request_fingerprint
 from poplarloft.protocol.http import with_end
+from poplarloft.protocol.keys import AllowedPeer
+from poplarloft.protocol.keys import format_key_pair
+from poplarloft.protocol.keys import KeyPair
+from poplarloft.protocol.keys import parse_allow_list
+from poplarloft.protocol.keys import parse_key_pair
 from poplarloft.protocol.ledgers import decode_ledger
 from poplarloft.protocol.ledgers import encode_ledger
 from poplarloft.protocol.ledgers import ledger_key
@@ -72,6 +77,9 @@
 from poplarloft.protocol.settings import DaemonSettings
 from poplarloft.protocol.settings import load_settings
 from poplarloft.protocol.settings import settings_reference
+from poplarloft.protocol.snapshots import decode_snapshot
+from poplarloft.protocol.snapshots import encode_snapshot
+from poplarloft.protocol.snapshots import Snapshot
 from poplarloft.protocol.usage import append_entry
 from poplarloft.protocol.usage import decode_segment
 from poplarloft.protocol.usage import encode_segment
@@ -83,6 +91,7 @@
 
 __all__ = [
     "AddressText",
+    "AllowedPeer",
     "append_entry",
     "bearer_digest",
     "CallerHeaders",
@@ -104,6 +113,7 @@
     "decode_reason",
     "decode_score",
     "decode_segment",
+    "decode_snapshot",
     "decode_stream_line",
     "document_schema",
     "encode",
@@ -115,6 +125,7 @@
     "encode_pull_answer",
     "encode_pull_request",
     "encode_segment",
+    "encode_snapshot",
     "EngineState",
     "ENTRIES_PER_SEGMENT",
     "Envelope",
@@ -124,12 +135,14 @@
     "find_fault",
     "find_operator",
     "first_field_error",
+    "format_key_pair",
     "HEAD_KEY",
     "HistogramRow",
     "HttpRequest",
     "HttpResponse",
     "InstanceStatus",
     "json_response",
+    "KeyPair",
     "KeyValueAnswer",
     "LeaseAnswer",
     "LeaseRequest",
@@ -143,7 +156,9 @@
     "NOT_EXECUTED_HEADER",
     "OrderAnswer",
     "parse_address",
+    "parse_allow_list",
     "parse_caller_headers",
+    "parse_key_pair",
     "parse_window_ms",
     "PeerMessage",
     "problem_response",
@@ -158,6 +173,7 @@
     "ScoreRequest",
     "segment_key",
     "settings_reference",
+    "Snapshot",
     "StreamLine",
     "UpstreamRow",
     "WeightOrder",
--- a/poplarloft/transport/__init__.py
+++ b/poplarloft/transport/__init__.py
@@ -1,5 +1,6 @@
 """Sockets: HTTP server and client, peers, metrics, platform clients."""
 
+from poplarloft.transport.disk import AtomicFile
 from poplarloft.transport.errors import TransportFailure
 from poplarloft.transport.http_client import AnswerCut
 from poplarloft.transport.http_client import HttpClient
@@ -14,6 +15,7 @@
 
 __all__ = [
     "AnswerCut",
+    "AtomicFile",
     "CurveKeys",
     "HttpClient",
     "HttpKeyValueStore",
