Add a console of forms

Change: server-rendered pages without scripts: a form per kind that shows its document before it is sent, errors beside the fields, proposals with difference, accept, dispute and withdraw, status, histograms as SVG and usage. Sessions carry the operator's token in a strict cookie; forms carry a token derived from it, so any instance can check them.

--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -93,6 +93,7 @@
 from poplarloft.coordination.upstreams import UpstreamRegistry
 from poplarloft.coordination.usage import ledger_totals
 from poplarloft.coordination.usage import owner_shares
+from poplarloft.coordination.usage import OwnerShare
 from poplarloft.coordination.usage import usage_writer
 from poplarloft.coordination.usage import UsageBook
 from poplarloft.coordination.usage import UsageMeter
@@ -154,6 +155,7 @@
     "Offer",
     "OrderKind",
     "owner_shares",
+    "OwnerShare",
     "planned_staleness",
     "PoisonGuard",
     "PoisonSettings",
--- a/poplarloft/coordination/usage.py
+++ b/poplarloft/coordination/usage.py
@@ -12,6 +12,7 @@
 from poplarloft import state
 
 __all__ = [
+    "OwnerShare",
     "UsageBook",
     "UsageMeter",
     "ledger_totals",
--- /dev/null
+++ b/poplarloft/daemon/console.py
@@ -0,0 +1,229 @@
+"""The console of forms under ``/console``."""
+
+import hmac
+import typing
+import uuid
+
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.daemon import operators
+from poplarloft.protocol import console
+from poplarloft.protocol import credentials
+from poplarloft.protocol import documents
+from poplarloft.protocol import errors
+from poplarloft.protocol import forms
+from poplarloft.protocol import http
+from poplarloft import state
+
+if typing.TYPE_CHECKING:
+    from poplarloft.daemon import frontend
+
+__all__ = ["Console"]
+
+SEE_OTHER = 303
+PROPOSALS_SHOWN = 20
+
+
+class Console:
+    """Pages for operators, who sign in with their token.
+
+    Parameters
+    ----------
+    owner_frontend : frontend.Frontend
+        Gives the daemon's status and histograms.
+    operator_api : operators.OperatorApi
+        Carries changes into the configuration.
+    secure : bool
+        Whether the cookie is for TLS only.
+    """
+
+    def __init__(
+        self,
+        owner_frontend: "frontend.Frontend",
+        operator_api: operators.OperatorApi,
+        secure: bool,
+    ) -> None:
+        self.frontend = owner_frontend
+        self.operators = operator_api
+        self.secure = secure
+
+    async def handle(
+        self, request: http.HttpRequest, parts: list[str]
+    ) -> http.HttpResponse:
+        """Answer a request whose path starts with ``/console``."""
+        if (request.method, parts) == ("POST", ["login"]):
+            return self._login(request)
+        token = console.read_cookie(request.headers)
+        owner = credentials.find_operator(self._head(), token)
+        if owner is None or token is None:
+            return console.page("login", 200, error="")
+        csrf = console.csrf_token(token)
+        if request.method == "GET":
+            return await self._show(owner, csrf, parts)
+        try:
+            values = forms.parse_form(request.body)
+        except errors.FieldError as error:
+            return operators.refuse(state.Reason.BAD_REQUEST, str(error))
+        if not hmac.compare_digest(values.get("csrf", ""), csrf):
+            return operators.refuse(
+                state.Reason.FORBIDDEN, "the form is not of this session"
+            )
+        return await self._change(owner, csrf, parts, values)
+
+    def _head(self) -> state.Configuration:
+        return self.operators.service.latest
+
+    def _login(self, request: http.HttpRequest) -> http.HttpResponse:
+        try:
+            token = forms.parse_form(request.body).get("token", "")
+        except errors.FieldError:
+            token = ""
+        if credentials.find_operator(self._head(), token) is None:
+            return console.page(
+                "login", 403, error="No owner's operators use this token."
+            )
+        return _redirect(console.cookie_header(token, self.secure))
+
+    async def _show(
+        self, owner: str, csrf: str, parts: list[str]
+    ) -> http.HttpResponse:
+        match parts:
+            case [] | [""]:
+                return await self._overview(owner, csrf)
+            case ["new", kind] if kind in list(state.DocumentKind):
+                return _form(state.DocumentKind(kind), csrf, None, {})
+        return operators.refuse(state.Reason.UNKNOWN_ROUTE, "no such page")
+
+    async def _overview(self, owner: str, csrf: str) -> http.HttpResponse:
+        await self.operators.service.read_once()
+        head = self._head()
+        newest = list(reversed(head.proposals))[:PROPOSALS_SHOWN]
+        entries = await self.frontend.node.usage.entries()
+        totals = coordination.ledger_totals(entries or [])
+        view = console.ConsoleView(
+            owner,
+            csrf,
+            head,
+            [console.proposal_view(head, p, owner) for p in newest],
+            self.frontend.status(),
+            self.frontend.histograms(owner),
+            coordination.owner_shares(totals),
+        )
+        return console.page("overview", 200, view=view)
+
+    async def _change(
+        self,
+        owner: str,
+        csrf: str,
+        parts: list[str],
+        values: dict[str, str],
+    ) -> http.HttpResponse:
+        match parts:
+            case ["logout"]:
+                return _redirect(console.cookie_header("", self.secure))
+            case ["preview", kind] if kind in list(state.DocumentKind):
+                return self._preview(
+                    state.DocumentKind(kind), owner, csrf, values
+                )
+            case ["propose", kind] if kind in list(state.DocumentKind):
+                return await self._propose(
+                    state.DocumentKind(kind), owner, csrf, values
+                )
+            case ["proposals", proposal_id, answer]:
+                return await self._answer(owner, proposal_id, answer, values)
+        return operators.refuse(state.Reason.UNKNOWN_ROUTE, "no such form")
+
+    def _preview(
+        self,
+        kind: state.DocumentKind,
+        owner: str,
+        csrf: str,
+        values: dict[str, str],
+    ) -> http.HttpResponse:
+        made = forms.document_from_form(kind, owner, values)
+        if made.document is None:
+            return _form(kind, csrf, values, made.field_errors)
+        return console.page(
+            "preview",
+            200,
+            kind=kind.value,
+            text=console.readable(made.document),
+            values=values,
+        )
+
+    async def _propose(
+        self,
+        kind: state.DocumentKind,
+        owner: str,
+        csrf: str,
+        values: dict[str, str],
+    ) -> http.HttpResponse:
+        """Propose a form's document; a replayed form changes nothing."""
+        made = forms.document_from_form(kind, owner, values)
+        document = made.document
+        if document is None:
+            return _form(kind, csrf, values, made.field_errors)
+        proposal_id = documents.proposal_id(document, values.get("nonce", ""))
+        closes_at_ms = (
+            self.operators.wall_clock.now_ms() + operators.DEFAULT_WINDOW_MS
+        )
+        outcome = await self.operators.service.change(
+            lambda head: coordination.propose(
+                head, document, owner, proposal_id, closes_at_ms
+            )
+        )
+        match outcome:
+            case result.Failure(refusal):
+                return _form(kind, csrf, values, {"form": refusal.detail})
+        return _redirect()
+
+    async def _answer(
+        self,
+        owner: str,
+        proposal_id: str,
+        answer: str,
+        values: dict[str, str],
+    ) -> http.HttpResponse:
+        changes: dict[str, coordination.Change] = {
+            "accept": lambda head: coordination.accept(
+                head, proposal_id, owner
+            ),
+            "withdraw": lambda head: coordination.withdraw(
+                head, proposal_id, owner
+            ),
+            "dispute": lambda head: coordination.dispute(
+                head, proposal_id, owner, values.get("reason", "")
+            ),
+        }
+        if answer not in changes:
+            return operators.refuse(
+                state.Reason.UNKNOWN_ROUTE, f"no answer {answer!r}"
+            )
+        match await self.operators.service.change(changes[answer]):
+            case result.Failure(refusal):
+                return http.problem_response(refusal)
+        return _redirect()
+
+
+def _form(
+    kind: state.DocumentKind,
+    csrf: str,
+    values: dict[str, str] | None,
+    field_errors: dict[str, str],
+) -> http.HttpResponse:
+    fields = forms.fields_of(kind, values)
+    known = {"form": "", **{field.name: "" for field in fields}}
+    return console.page(
+        "form",
+        400 if field_errors else 200,
+        kind=kind.value,
+        csrf=csrf,
+        nonce=(values or {}).get("nonce") or uuid.uuid4().hex,
+        fields=fields,
+        field_errors={**known, **field_errors},
+    )
+
+
+def _redirect(*headers: tuple[str, str]) -> http.HttpResponse:
+    return http.HttpResponse(SEE_OTHER, (("location", "/console"), *headers))
--- a/poplarloft/daemon/frontend.py
+++ b/poplarloft/daemon/frontend.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from poplarloft.daemon import console
 from poplarloft.daemon import operators
 from poplarloft.daemon import relay
 from poplarloft.protocol import http
@@ -32,6 +33,8 @@
         self.node = owner_node
         self.operators = operator_api
         self.in_flight = 0
+        secure = owner_node.settings.tls_certificate is not None
+        self.console = console.Console(self, operator_api, secure)
 
     async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
         """Answer one request."""
@@ -51,6 +54,8 @@
                 return self._readiness()
             case "POST", ["v1", "lots", name, "pull"]:
                 return await self.node.rollouts.handle_pull(name, request)
+            case _, ["console", *parts]:
+                return await self.console.handle(request, parts)
             case method, ["v1", *parts]:
                 return await self._operate(request, method, parts)
         return operators.refuse(
@@ -70,9 +75,9 @@
             )
         match method, parts:
             case "GET", ["status"]:
-                return http.json_response(200, self._status())
+                return http.json_response(200, self.status())
             case "GET", ["histograms"]:
-                return http.json_response(200, self._histograms(owner))
+                return http.json_response(200, self.histograms(owner))
             case "GET", ["config"]:
                 return await self.operators.show()
             case "POST", ["config", "proposals"]:
@@ -115,7 +120,8 @@
             200, (("content-type", "application/json"),), body
         )
 
-    def _status(self) -> messages.InstanceStatus:
+    def status(self) -> messages.InstanceStatus:
+        """Return what operators see of this instance."""
         node = self.node
         phase = node.shutdown.phase(self.in_flight)
         return messages.InstanceStatus(
@@ -164,7 +170,7 @@
             )
         return rows
 
-    def _histograms(self, owner: str) -> list[messages.HistogramRow]:
+    def histograms(self, owner: str) -> list[messages.HistogramRow]:
         """Return the histograms that concern `owner`'s callers."""
         return [
             messages.HistogramRow(
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -2,8 +2,17 @@
 
 from poplarloft.protocol.addresses import AddressText
 from poplarloft.protocol.addresses import parse_address
+from poplarloft.protocol.console import ConsoleView
+from poplarloft.protocol.console import cookie_header
+from poplarloft.protocol.console import csrf_token
+from poplarloft.protocol.console import page
+from poplarloft.protocol.console import proposal_view
+from poplarloft.protocol.console import ProposalView
+from poplarloft.protocol.console import read_cookie
+from poplarloft.protocol.console import readable
 from poplarloft.protocol.credentials import find_caller
 from poplarloft.protocol.credentials import find_operator
+from poplarloft.protocol.documents import BODY_MODEL_OF_KIND
 from poplarloft.protocol.documents import canonical_bytes
 from poplarloft.protocol.documents import decode_document
 from poplarloft.protocol.documents import decode_head
@@ -29,6 +38,11 @@
 from poplarloft.protocol.errors import FieldError
 from poplarloft.protocol.errors import first_field_error
 from poplarloft.protocol.errors import ProtocolError
+from poplarloft.protocol.forms import document_from_form
+from poplarloft.protocol.forms import fields_of
+from poplarloft.protocol.forms import FormField
+from poplarloft.protocol.forms import FormResult
+from poplarloft.protocol.forms import parse_form
 from poplarloft.protocol.http import bearer_digest
 from poplarloft.protocol.http import CallerHeaders
 from poplarloft.protocol.http import claim_key
@@ -94,10 +108,14 @@
     "AllowedPeer",
     "append_entry",
     "bearer_digest",
+    "BODY_MODEL_OF_KIND",
     "CallerHeaders",
     "canonical_bytes",
     "claim_key",
     "CompletionRequest",
+    "ConsoleView",
+    "cookie_header",
+    "csrf_token",
     "DaemonSettings",
     "decode_document",
     "decode_engine_state",
@@ -115,6 +133,7 @@
     "decode_segment",
     "decode_snapshot",
     "decode_stream_line",
+    "document_from_form",
     "document_schema",
     "encode",
     "encode_document",
@@ -131,11 +150,14 @@
     "Envelope",
     "export_csv",
     "FieldError",
+    "fields_of",
     "find_caller",
     "find_fault",
     "find_operator",
     "first_field_error",
     "format_key_pair",
+    "FormField",
+    "FormResult",
     "HEAD_KEY",
     "HistogramRow",
     "HttpRequest",
@@ -155,19 +177,25 @@
     "MAX_DOCUMENT_BYTES",
     "NOT_EXECUTED_HEADER",
     "OrderAnswer",
+    "page",
     "parse_address",
     "parse_allow_list",
     "parse_caller_headers",
+    "parse_form",
     "parse_key_pair",
     "parse_window_ms",
     "PeerMessage",
     "problem_response",
     "proposal_id",
     "proposal_status",
+    "proposal_view",
     "ProposalStatus",
+    "ProposalView",
     "ProtocolError",
     "PullAnswer",
     "PullRequest",
+    "read_cookie",
+    "readable",
     "request_fingerprint",
     "ScoreAnswer",
     "ScoreRequest",
--- a/poplarloft/protocol/documents.py
+++ b/poplarloft/protocol/documents.py
@@ -10,6 +10,7 @@
 from poplarloft import state
 
 __all__ = [
+    "BODY_MODEL_OF_KIND",
     "HEAD_KEY",
     "MAX_DOCUMENT_BYTES",
     "canonical_bytes",
@@ -278,17 +279,17 @@
     )
 
 
-_BODY_MODELS: dict[type, type[_Model]] = {
-    state.OwnerBody: OwnerModel,
-    state.RouteBody: RouteModel,
-    state.LotBody: LotModel,
-    state.WeightsBody: WeightsModel,
-    state.ReleaseBody: ReleaseModel,
+BODY_MODEL_OF_KIND: dict[state.DocumentKind, type[_Model]] = {
+    state.DocumentKind.OWNER: OwnerModel,
+    state.DocumentKind.ROUTE: RouteModel,
+    state.DocumentKind.LOT: LotModel,
+    state.DocumentKind.WEIGHTS: WeightsModel,
+    state.DocumentKind.RELEASE: ReleaseModel,
 }
 
 
 def _document_to_plain(document: state.Document) -> dict[str, typing.Any]:
-    body_model = _BODY_MODELS[type(document.body)]
+    body_model = BODY_MODEL_OF_KIND[document.kind]
     body = body_model.model_validate(document.body, from_attributes=True)
     return {
         "kind": document.kind.value,
