Prove crashes, cuts and leaving behind daemons

Cause: the poison guard, streams and signs of leaving had been tested as decisions, not through daemons.

Change: tests with two daemons and five engines. Faults that they found: a bystander was refused when no engine was free of suspects (it waits within its deadline now); a crashed engine used up the attempts of its bystanders, since it took three refused connections to eject it (one is enough now); timers of a stopped daemon went on (the fleet part stops).

Figures: a poison prompt sent again through both daemons crashes 3 engines at most and ends as 422 at both; 20 innocents beside it all answered; of 1,000 streams with an engine crash each is whole to its last line, cut, or refused with a verdict.

--- a/poplarloft/coordination/health.py
+++ b/poplarloft/coordination/health.py
@@ -60,11 +60,22 @@
         """Forget the failures of an upstream that answers."""
         self.records.pop(upstream, None)
 
-    def on_failure(self, upstream: str) -> None:
-        """Count a failure; eject at the limit or after a failed probe."""
+    def on_failure(self, upstream: str, is_down: bool = False) -> None:
+        """Count a failure; eject at the limit or after a failed probe.
+
+        Parameters
+        ----------
+        upstream : str
+            What failed.
+        is_down : bool
+            Whether it refuses connections, which ejects it at once.
+        """
         record = self.records.setdefault(upstream, _Record())
         record.failures += 1
-        if record.failures < self.settings.failures and not record.probing:
+        reached = record.failures >= self.settings.failures
+        if not reached and not record.probing and not is_down:
+            return
+        if record.ejected_until_ms > self.clock.now_ms():
             return
         duration_ms = min(
             self.settings.ejection_ms * 2**record.ejections,
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -19,6 +19,7 @@
 SERVICE_UNAVAILABLE = 503
 CRASH_CHECK_MS = 300
 HEAD_START_MS = 20
+PLACE_WAIT_MS = 100
 PURPOSE_ANSWERED = "answered"
 PURPOSE_FAILED = "failed"
 MS_PER_S = 1_000
@@ -155,6 +156,10 @@
             if standing is coordination.Standing.QUARANTINED:
                 return result.Failure(_quarantined(plan))
             candidates = self._candidates(call, standing, excluded)
+            if not candidates and self._may_wait(call, standing):
+                # Another suspect's run or a restart ends soon.
+                await asyncio.sleep(PLACE_WAIT_MS / MS_PER_S)
+                continue
             if not candidates:
                 give_up = plan.on_no_upstream(call.route.service)
                 return result.Failure(give_up.refusal)
@@ -171,6 +176,16 @@
                 case coordination.TryAgain(tried):
                     excluded = tried
 
+    def _may_wait(
+        self, call: RelayCall, standing: coordination.Standing
+    ) -> bool:
+        """Tell whether a suspect has time to wait for a place."""
+        now_ms = self.clock.now_ms()
+        return (
+            standing is coordination.Standing.SUSPECT
+            and now_ms + PLACE_WAIT_MS < call.deadline_ms
+        )
+
     def _candidates(
         self,
         call: RelayCall,
@@ -253,8 +268,9 @@
     async def _on_failure(
         self, upstream: state.Upstream, kind: coordination.FailureKind
     ) -> None:
+        is_down = kind is coordination.FailureKind.CONNECT_REFUSED
         if kind is not coordination.FailureKind.REFUSED_WITH_PROOF:
-            self.health.on_failure(upstream.name)
+            self.health.on_failure(upstream.name, is_down)
         if kind in RESET_KINDS:
             await self._check_crash(upstream)
 
@@ -274,6 +290,7 @@
                 answer.close()
                 self.guard.on_reset_explained(name, incarnation)
             case _:
+                self.health.on_failure(name, is_down=True)
                 rumours = self.guard.on_crash(name, incarnation)
                 for rumour in rumours:
                     self.spread(rumour)
--- a/poplarloft/daemon/fleet.py
+++ b/poplarloft/daemon/fleet.py
@@ -52,6 +52,7 @@
         self.member_listeners: list[abc.Callable[[], None]] = []
         self.handlers: dict[type, MessageHandler] = {}
         self.timer = tasks.WakeTimer(self._on_wake)
+        self.stopped = False
 
     @property
     def name(self) -> str:
@@ -64,6 +65,12 @@
         self.task_set.spawn(self._join())
         self._on_wake()
 
+    def stop(self) -> None:
+        """Send and receive nothing more."""
+        self.stopped = True
+        self.timer.set(None)
+        self.sockets.close()
+
     def leave(self) -> None:
         """Tell some members that this instance goes."""
         self._perform(self.membership.leave())
@@ -170,6 +177,8 @@
         message: messages.PeerMessage,
         name: str = "",
     ) -> None:
+        if self.stopped:
+            return
         keys = self.sockets.keys
         server_key = None
         if keys is not None:
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -159,7 +159,8 @@
         if self.snapshots is not None:
             self.snapshots.write()
         await self.task_set.cancel_all()
-        self.sockets.close()
+        if self.fleet is not None:
+            self.fleet.stop()
         self.client.close()
         eliot.log_message("stopped", cut=cut)
 
@@ -168,7 +169,8 @@
         self.server.stop_listening()
         await self.server.drain(0)
         await self.task_set.cancel_all()
-        self.sockets.close()
+        if self.fleet is not None:
+            self.fleet.stop()
         self.client.close()
 
     def _join_fleet(self, address: state.Address) -> fleet.FleetService:
--- /dev/null
+++ b/poplarloft/daemon/tests/test_upstream_failures.py
@@ -0,0 +1,147 @@
+"""Crashing, leaving and breaking upstreams behind two daemons."""
+
+import asyncio
+import dataclasses
+import json
+
+import pytest_asyncio
+
+from poplarloft import state
+from poplarloft.transport import http_client
+from standins import engine
+from standins import platform
+
+OWNER = platform.OWNERS[0]
+TOKEN = platform.caller_token(OWNER)
+HEADERS = [("authorization", f"Bearer {TOKEN}")]
+DAEMONS = 2
+
+
+def route(name, service, streamed):
+    body = state.RouteBody(service, streamed=streamed, timeout_ms=10_000)
+    return state.Document(state.DocumentKind.ROUTE, OWNER, name, body)
+
+
+@pytest_asyncio.fixture
+async def small():
+    made = platform.SmallPlatform(list_lag_ms=0)
+    await made.start(engines=5, plains=2, scorers=0)
+    made.put_in_force(
+        *(platform.owner_document(o) for o in platform.OWNERS),
+        route("whole", platform.ENGINE_SERVICE, False),
+        route("stream", platform.ENGINE_SERVICE, True),
+        route("find", platform.PLAIN_SERVICE, False),
+    )
+    for number in range(DAEMONS):
+        await made.start_node(f"entry-{number}", platform.PLACES[0])
+    while any(len(n.fleet.membership.live()) < DAEMONS for n in made.nodes):
+        await asyncio.sleep(0.02)
+    yield made
+    await made.stop()
+
+
+async def ask(client, node, path, prompt, max_tokens=64):
+    """Return the status and body of a completion, None if it was cut."""
+    body = json.dumps({"prompt": prompt, "max_tokens": max_tokens}).encode()
+    sent = await client.send(node.address, "POST", path, HEADERS, body)
+    answer = sent.unwrap()
+    try:
+        return answer.status, await answer.read()
+    except http_client.AnswerCut:
+        return answer.status, None
+
+
+async def test_poison_crashes_three_engines_and_innocents_are_served(small):
+    client = http_client.HttpClient()
+    innocents = [
+        asyncio.create_task(
+            ask(
+                client,
+                small.nodes[n % DAEMONS],
+                "/r/whole/v1/completions",
+                f"an innocent question {n}",
+            )
+        )
+        for n in range(20)
+    ]
+    statuses = []
+    for number in range(12):
+        status, _ = await ask(
+            client,
+            small.nodes[number % DAEMONS],
+            "/r/whole/v1/completions",
+            f"please {engine.POISON}",
+        )
+        statuses.append(status)
+        if status == 422:
+            break
+    assert statuses[-1] == 422
+    assert sum(e.crashes for e in small.engines) <= 3
+    answers = await asyncio.gather(*innocents)
+    assert {status for status, _ in answers} == {200}
+    for node in small.nodes:
+        status, _ = await ask(
+            client,
+            node,
+            "/r/whole/v1/completions",
+            f"please {engine.POISON}",
+        )
+        assert status == 422
+    client.close()
+
+
+async def test_a_client_can_tell_a_cut_stream_from_a_whole_one(small):
+    """Every answer at a thousand streams is whole, byte for byte, or cut."""
+    client = http_client.HttpClient(connect_timeout_ms=20_000)
+
+    async def one(number):
+        node = small.nodes[number % DAEMONS]
+        return await ask(
+            client, node, "/r/stream/v1/completions", f"q{number}", 32
+        )
+
+    asking = [asyncio.create_task(one(n)) for n in range(1_000)]
+    while not any(e.produced_tokens for e in small.engines):
+        await asyncio.sleep(0.005)
+    busiest = max(small.engines, key=lambda e: e.running)
+    await busiest.crash()
+    whole = cut = refused = 0
+    for status, body in await asyncio.gather(*asking):
+        if status != 200:
+            assert "verdict" in json.loads(body)
+            refused += 1
+            continue
+        if body is None:
+            cut += 1
+            continue
+        lines = [json.loads(line) for line in body.splitlines()]
+        assert lines[-1]["done"]
+        assert not any(line["done"] for line in lines[:-1])
+        whole += 1
+    assert whole + cut + refused == 1_000
+    assert min(whole, cut) > 0
+    client.close()
+
+
+async def test_leaving_upstream_gets_no_new_work_from_any_daemon(small):
+    """A refusal seen by one daemon reaches the other by gossip."""
+    client = http_client.HttpClient()
+    leaving = small.plains[0]
+    leaving.leaving = True
+    answered = 0
+    while answered < 20:
+        sent = await client.send(
+            small.nodes[0].address, "POST", "/r/find/run", HEADERS, b"x"
+        )
+        answer = sent.unwrap()
+        await answer.read()
+        assert answer.status == 200
+        answered += 1
+    other = small.nodes[1].upstreams
+    upstream = dataclasses.replace(leaving.upstream)
+    while other.registry.is_eligible(upstream):
+        await asyncio.sleep(0.02)
+    names = [c.name for c in other.candidates("directorio-app", frozenset())]
+    assert leaving.upstream.name not in names
+    assert leaving.runs.total() == 0
+    client.close()
