Score a shortlist where upstreams are many

Change: of more than 16 near upstreams only the prefix's first four owners, ranked once per prefix, and twelve at random are scored. Suspects are still placed among all, since all daemons must agree.

Up to 16 upstreams nothing changes.

What the shortlist does to cache hits at that size is not measured.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -94,6 +94,13 @@
     policy = coordination.ScoredTwoChoices(rng)
     request = coordination.RouteRequest(tuple(range(16)), 256)
 
+    shortlist = coordination.Shortlist(rng)
+
+    def choose_of_few() -> None:
+        names = tuple(u.name for u in registry.eligible("pool"))
+        few = shortlist.choose(request, names)
+        policy.choose(request, [view.candidate(n, 0.0) for n in few])
+
     def choose() -> None:
         candidates = [
             view.candidate(u.name, 0.0) for u in registry.eligible("pool")
@@ -111,7 +118,8 @@
     data = engine.encode(answer)
     return {
         "bytes_each": round(kept / size),
-        "choose_us": _microseconds(choose),
+        "choose_of_all_us": _microseconds(choose),
+        "choose_of_few_us": _microseconds(choose_of_few),
         "report_bytes": len(data),
         "report_us": _microseconds(
             lambda: engine.load_report(
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -82,6 +82,7 @@
 from poplarloft.coordination.routing import ROUTING_POLICIES
 from poplarloft.coordination.routing import RoutingPolicy
 from poplarloft.coordination.routing import ScoredTwoChoices
+from poplarloft.coordination.routing import Shortlist
 from poplarloft.coordination.shutdown import ShutdownPhase
 from poplarloft.coordination.shutdown import ShutdownPlan
 from poplarloft.coordination.stragglers import NoRedispatch
@@ -188,6 +189,7 @@
     "SendPingRequest",
     "SendRumours",
     "settle",
+    "Shortlist",
     "ShutdownPhase",
     "ShutdownPlan",
     "SignSource",
--- a/poplarloft/coordination/routing.py
+++ b/poplarloft/coordination/routing.py
@@ -26,11 +26,14 @@
     "ROUTING_POLICIES",
     "RoutingPolicy",
     "ScoredTwoChoices",
+    "Shortlist",
     "prefix_blocks",
     "rendezvous_rank",
 ]
 
 BLOCK_CHARS = 64
+OWNERS_SHORTLISTED = 4
+MAX_RANKED_PREFIXES = 10_000
 
 
 def prefix_blocks(prompt: str, block_chars: int = BLOCK_CHARS) -> list[int]:
@@ -69,6 +72,45 @@
     )
 
 
+class Shortlist:
+    """Names a few upstreams that are worth scoring, of any number.
+
+    Ranking all owners of a prefix takes time in proportion to the
+    upstreams, so ranks are kept until the set of upstreams changes.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws the names beside the prefix's owners.
+    length : int
+        Names in a list; up to that many all are named.
+    """
+
+    def __init__(self, rng: random.Random, length: int = 16) -> None:
+        self.rng = rng
+        self.length = length
+        self.names: tuple[str, ...] = ()
+        self.owners: dict[int, list[str]] = {}
+
+    def choose(
+        self, request: "RouteRequest", names: tuple[str, ...]
+    ) -> abc.Sequence[str]:
+        """Return the prefix's first owners and others at random."""
+        if len(names) <= self.length:
+            return names
+        if names != self.names or len(self.owners) > MAX_RANKED_PREFIXES:
+            self.names = names
+            self.owners = {}
+        drawn = self.rng.sample(names, self.length - OWNERS_SHORTLISTED)
+        if not request.prefix:
+            return drawn
+        first_block = request.prefix[0]
+        if first_block not in self.owners:
+            ranked = rendezvous_rank(str(first_block), names)
+            self.owners[first_block] = ranked[:OWNERS_SHORTLISTED]
+        return list(dict.fromkeys([*self.owners[first_block], *drawn]))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteRequest:
     """What routing needs to know of a request."""
--- a/poplarloft/coordination/tests/test_requests.py
+++ b/poplarloft/coordination/tests/test_requests.py
@@ -281,3 +281,19 @@
     assert view.candidate("e1", 0.0).queued_tokens == 50
     view.on_done("e1", ticket)
     assert view.candidate("e1", 0.0).queued_tokens == 0
+
+
+def test_shortlist_keeps_the_owners_of_a_prefix_at_every_instance():
+    names = tuple(f"e{n}" for n in range(100))
+    request = coordination.RouteRequest(prefix=(7, 8))
+    first = coordination.Shortlist(random.Random(1)).choose(request, names)
+    second = coordination.Shortlist(random.Random(2)).choose(request, names)
+    assert first[:4] == second[:4]
+    assert len(set(first)) == len(first) <= 16
+
+
+def test_shortlist_names_all_of_a_few():
+    names = ("a", "b")
+    request = coordination.RouteRequest(prefix=(7,))
+    shortlist = coordination.Shortlist(random.Random(1))
+    assert shortlist.choose(request, names) == names
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -13,7 +13,7 @@
 from poplarloft import state
 from poplarloft.transport import http_client
 
-__all__ = ["Answer", "Dispatcher", "RelayCall"]
+__all__ = ["Answer", "Dispatcher", "RelayCall", "route_request"]
 
 CHARS_PER_TOKEN = 4
 SERVICE_UNAVAILABLE = 503
@@ -66,6 +66,7 @@
     target: str
     repeatable: bool
     fingerprint: str
+    route_request: coordination.RouteRequest
     started_at_ms: int
     deadline_ms: int
 
@@ -192,11 +193,20 @@
         standing: coordination.Standing,
         excluded: frozenset[str],
     ) -> list[coordination.Candidate]:
-        """Return healthy candidates; one without suspects for a suspect."""
-        candidates = self.upstreams.candidates(call.route.service, excluded)
+        """Return healthy candidates; one without suspects for a suspect.
+
+        A suspect's place is chosen among all upstreams, since all
+        instances must agree on it.
+        """
+        clear = standing is coordination.Standing.CLEAR
+        candidates = self.upstreams.candidates(
+            call.route.service,
+            excluded,
+            call.route_request if clear else None,
+        )
         usable = set(self.health.usable([c.name for c in candidates]))
         candidates = [c for c in candidates if c.name in usable]
-        if standing is coordination.Standing.CLEAR or not candidates:
+        if clear or not candidates:
             return candidates
         by_name = {c.name: c for c in candidates}
         place = self.guard.placement(call.fingerprint, by_name)
@@ -205,7 +215,7 @@
     async def _attempt(
         self, call: RelayCall, candidates: list[coordination.Candidate]
     ) -> Attempt:
-        route_request = _route_request(call)
+        route_request = call.route_request
         name = self.policy.choose(route_request, candidates).name
         upstream = self.upstreams.find(name)
         self.health.on_chosen(name)
@@ -390,8 +400,9 @@
     )
 
 
-def _route_request(call: RelayCall) -> coordination.RouteRequest:
-    prompt = call.request.body.decode("utf-8", "replace")
+def route_request(body: bytes) -> coordination.RouteRequest:
+    """Return what routing needs to know of a request's body."""
+    prompt = body.decode("utf-8", "replace")
     return coordination.RouteRequest(
         tuple(coordination.prefix_blocks(prompt)),
         len(prompt) // CHARS_PER_TOKEN,
--- a/poplarloft/daemon/generation.py
+++ b/poplarloft/daemon/generation.py
@@ -90,14 +90,16 @@
         on_progress: Progress,
     ) -> Generation:
         """Stream one sample from an engine of `service` for `owner`."""
-        candidates = self._fresh_candidates(service, order.min_version)
-        if not candidates:
-            return _failed("no engine serves a fresh enough version", 0)
         request = coordination.RouteRequest(
             tuple(coordination.prefix_blocks(order.prompt)),
             len(order.prompt) // CHARS_PER_TOKEN,
             order.max_tokens,
         )
+        candidates = self._fresh_candidates(
+            service, order.min_version, request
+        )
+        if not candidates:
+            return _failed("no engine serves a fresh enough version", 0)
         name = self.policy.choose(request, candidates).name
         load = self.upstreams.load
         ticket = load.on_dispatch(name, request)
@@ -131,7 +133,10 @@
             delay_ms = min(2 * delay_ms, SCORE_RETRY_LIMIT_MS)
 
     def _fresh_candidates(
-        self, service: str, min_version: int
+        self,
+        service: str,
+        min_version: int,
+        request: coordination.RouteRequest,
     ) -> list[coordination.Candidate]:
         """Return engines whose reported version is of use.
 
@@ -139,7 +144,9 @@
         """
         reports = self.upstreams.load.reports
         fresh = []
-        for candidate in self.upstreams.candidates(service, frozenset()):
+        for candidate in self.upstreams.candidates(
+            service, frozenset(), request
+        ):
             report = reports.get(candidate.name)
             version = report.weight_version if report else None
             if version is not None and version >= min_version:
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -230,6 +230,7 @@
             self.place,
             addresses.parse_address(settings.instance_list),
             settings.poll_interval_ms,
+            self.rng,
         )
 
     def _make_claims(self) -> claims.ClaimService:
--- a/poplarloft/daemon/relay.py
+++ b/poplarloft/daemon/relay.py
@@ -141,6 +141,7 @@
             fingerprint=http.request_fingerprint(
                 document.owner, document.name, request.body
             ),
+            route_request=dispatch.route_request(request.body),
             started_at_ms=now_ms,
             deadline_ms=now_ms + timeout_ms,
         )
--- a/poplarloft/daemon/upstreams.py
+++ b/poplarloft/daemon/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import random
 
 import eliot
 import msgspec
@@ -43,6 +44,8 @@
         The platform's list.
     poll_interval_ms : int
         Time between two polls.
+    rng : random.Random
+        Draws candidates where there are many.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         place: state.Place,
         instance_list: state.Address,
         poll_interval_ms: int,
+        rng: random.Random,
     ) -> None:
         self.client = client
         self.registry = registry
@@ -62,6 +66,7 @@
         self.poll_interval_ms = poll_interval_ms
         self.report_listeners: list[ReportListener] = []
         self.sign_listeners: list[SignListener] = []
+        self.shortlist = coordination.Shortlist(rng)
         self.polled_by_me: abc.Callable[[str], bool] = lambda name: True
         self.cache_sequences: dict[str, int] = {}
 
@@ -116,15 +121,38 @@
             listener(upstream, answer)
 
     def candidates(
-        self, service: str, excluded: frozenset[str]
+        self,
+        service: str,
+        excluded: frozenset[str],
+        request: coordination.RouteRequest | None = None,
     ) -> list[coordination.Candidate]:
-        """Return the eligible upstreams of a service with their load."""
-        return [
-            self.load.candidate(u.name, self._price_ms(u))
+        """Return eligible upstreams of a service with their load.
+
+        Of many upstreams only those that are worth scoring for
+        `request`, near ones if there are any.
+        """
+        eligible = {
+            u.name: u
             for u in self.registry.eligible(service)
             if u.name not in excluded
+        }
+        names = tuple(eligible)
+        if request is not None and len(names) > self.shortlist.length:
+            names = self._nearest(eligible) or names
+            names = tuple(self.shortlist.choose(request, names))
+        return [
+            self.load.candidate(name, self._price_ms(eligible[name]))
+            for name in names
         ]
 
+    def _nearest(self, eligible: dict[str, state.Upstream]) -> tuple[str, ...]:
+        """Return the names of this data centre's upstreams."""
+        return tuple(
+            name
+            for name, upstream in eligible.items()
+            if upstream.place.data_centre == self.place.data_centre
+        )
+
     def find(self, name: str) -> state.Upstream:
         """Return a known upstream by name."""
         return self.registry.known[name]
