Split what had grown large

Cause: membership, claims, the dispatcher and the commands were files of 420 to 550 lines, and the estimate of a prompt's tokens stood four times.

Change: gossip messages, probes, relays' news, claim actions, calls and four groups of commands get modules of their own; a prompt's routing request is made in one place. No behaviour changes.

--- /dev/null
+++ b/poplarloft/cli/base.py
@@ -0,0 +1,81 @@
+"""What the commands share: the daemon to call, tables, exit codes."""
+
+import json
+import os
+import pathlib
+import typing
+
+from cleo.commands import command
+from cleo.helpers import option
+
+from poplarloft.cli import api
+from poplarloft.protocol import addresses
+from poplarloft.protocol import documents
+from poplarloft.protocol import errors
+from poplarloft import state
+
+__all__ = [
+    "EXIT_BAD_INPUT",
+    "EXIT_REFUSED",
+    "EXIT_UNSURE",
+    "DaemonCommand",
+    "Row",
+    "read_document",
+]
+
+EXIT_BAD_INPUT = 2
+EXIT_REFUSED = 3
+EXIT_UNSURE = 4
+
+Row = dict[str, typing.Any]
+
+
+class DaemonCommand(command.Command):
+    """A command that calls a daemon."""
+
+    options: typing.ClassVar[list[typing.Any]] = [
+        option("daemon", None, "IP number and port of a daemon", flag=False),
+        option("token", None, "Operator's token", flag=False),
+        option("json", None, "Print JSON for programs"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command; map failures to exit codes."""
+        try:
+            return self.run_command()
+        except (errors.ProtocolError, OSError) as error:
+            self.line_error(f"error: {error}")
+            return EXIT_BAD_INPUT
+        except api.ApiError as error:
+            self.line_error(f"error: {error}")
+            return EXIT_UNSURE if error.may_have_run else EXIT_REFUSED
+
+    def run_command(self) -> int:
+        """Do the command's work; return its exit code."""
+        raise NotImplementedError
+
+    @property
+    def api(self) -> api.DaemonApi:
+        """Return the daemon named by flags or environment."""
+        daemon = self.option("daemon") or os.environ.get("POPLARLOFT_DAEMON")
+        token = self.option("token") or os.environ.get("POPLARLOFT_TOKEN")
+        if not daemon:
+            raise errors.FieldError("--daemon", "is missing")
+        if not token:
+            raise errors.FieldError("--token", "is missing")
+        return api.DaemonApi(addresses.parse_address(daemon), token)
+
+    def show(self, value: object, columns: list[str], rows: list[Row]) -> None:
+        """Print `value` as JSON, or `rows` as a table."""
+        if self.option("json"):
+            self.line(json.dumps(value))
+            return
+        table = self.table()
+        table.set_headers(columns)
+        table.set_rows([[str(row[c]) for c in columns] for row in rows])
+        table.render()
+
+
+def read_document(name: str) -> state.Document:
+    """Return the document in a file; raises `FieldError` or `OSError`."""
+    return documents.decode_document(pathlib.Path(name).read_bytes())
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -10,14 +10,14 @@
 from poplarloft.coordination.admission import Refused
 from poplarloft.coordination.answers import AnswerCache
 from poplarloft.coordination.answers import RecordedAnswer
+from poplarloft.coordination.claim_actions import ClaimAction
+from poplarloft.coordination.claim_actions import ClaimDecided
+from poplarloft.coordination.claim_actions import ClaimDecision
+from poplarloft.coordination.claim_actions import ClaimSettings
+from poplarloft.coordination.claim_actions import ReadLedger
+from poplarloft.coordination.claim_actions import WriteLedger
 from poplarloft.coordination.claims import claim_owner
-from poplarloft.coordination.claims import ClaimAction
 from poplarloft.coordination.claims import ClaimBook
-from poplarloft.coordination.claims import ClaimDecided
-from poplarloft.coordination.claims import ClaimDecision
-from poplarloft.coordination.claims import ClaimSettings
-from poplarloft.coordination.claims import ReadLedger
-from poplarloft.coordination.claims import WriteLedger
 from poplarloft.coordination.configuration import accept
 from poplarloft.coordination.configuration import Change
 from poplarloft.coordination.configuration import ChangeResult
@@ -36,6 +36,13 @@
 from poplarloft.coordination.delivery import StepCollector
 from poplarloft.coordination.dissemination import DisseminationSettings
 from poplarloft.coordination.dissemination import RumourStore
+from poplarloft.coordination.gossip import MembershipAction
+from poplarloft.coordination.gossip import MembershipSettings
+from poplarloft.coordination.gossip import SendAck
+from poplarloft.coordination.gossip import SendDigest
+from poplarloft.coordination.gossip import SendPing
+from poplarloft.coordination.gossip import SendPingRequest
+from poplarloft.coordination.gossip import SendRumours
 from poplarloft.coordination.health import HealthBook
 from poplarloft.coordination.health import HealthSettings
 from poplarloft.coordination.histograms import HistogramKey
@@ -51,17 +58,13 @@
 from poplarloft.coordination.lots import planned_staleness
 from poplarloft.coordination.lots import ScoreSample
 from poplarloft.coordination.membership import Membership
-from poplarloft.coordination.membership import MembershipAction
-from poplarloft.coordination.membership import MembershipSettings
-from poplarloft.coordination.membership import SendAck
-from poplarloft.coordination.membership import SendDigest
-from poplarloft.coordination.membership import SendPing
-from poplarloft.coordination.membership import SendPingRequest
-from poplarloft.coordination.membership import SendRumours
 from poplarloft.coordination.pacing import TokenBucket
 from poplarloft.coordination.poison import PoisonGuard
 from poplarloft.coordination.poison import PoisonSettings
 from poplarloft.coordination.poison import Standing
+from poplarloft.coordination.probing import Probe
+from poplarloft.coordination.probing import ProbeTable
+from poplarloft.coordination.relaying import NewsQueues
 from poplarloft.coordination.retries import AttemptPlan
 from poplarloft.coordination.retries import Failure
 from poplarloft.coordination.retries import FailureKind
@@ -71,6 +74,7 @@
 from poplarloft.coordination.retries import verdict_of
 from poplarloft.coordination.routing import BLOCK_CHARS
 from poplarloft.coordination.routing import Candidate
+from poplarloft.coordination.routing import CHARS_PER_TOKEN
 from poplarloft.coordination.routing import LeastLoaded
 from poplarloft.coordination.routing import LoadView
 from poplarloft.coordination.routing import prefix_blocks
@@ -117,6 +121,7 @@
     "Candidate",
     "Change",
     "ChangeResult",
+    "CHARS_PER_TOKEN",
     "claim_owner",
     "ClaimAction",
     "ClaimBook",
@@ -152,6 +157,7 @@
     "Membership",
     "MembershipAction",
     "MembershipSettings",
+    "NewsQueues",
     "NoRedispatch",
     "Offer",
     "OrderKind",
@@ -162,6 +168,8 @@
     "PoisonSettings",
     "prefix_blocks",
     "Prices",
+    "Probe",
+    "ProbeTable",
     "propose",
     "RandomChoice",
     "RateLimits",
--- a/poplarloft/coordination/claims.py
+++ b/poplarloft/coordination/claims.py
@@ -16,99 +16,12 @@
 
 import xxhash
 
+from poplarloft.coordination import claim_actions
 from poplarloft.coordination import pacing
 from poplarloft.coordination import routing
 from poplarloft import state
 
-__all__ = [
-    "ClaimAction",
-    "ClaimBook",
-    "ClaimDecided",
-    "ClaimDecision",
-    "ClaimSettings",
-    "ReadLedger",
-    "WriteLedger",
-    "claim_owner",
-]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimSettings:
-    """Sizes and times of the claim ledgers.
-
-    Parameters
-    ----------
-    shards : int
-        Ledgers per window; all instances must agree on it.
-    window_ms : int
-        Span of issue times that share a ledger.
-    horizon_ms : int
-        Oldest key that is accepted.
-    skew_ms : int
-        How far ahead of this instance's clock a key may be.
-    calls_per_s, call_burst : float
-        Allowance of key-value calls.
-    trust_ms : int
-        Age up to which a cached ledger may refuse a claim.
-    max_claims : int
-        Claims that a ledger holds at most.
-    retry_ms : int
-        Pause after a failed call.
-    """
-
-    shards: int = 1
-    window_ms: int = 5_000
-    horizon_ms: int = 600_000
-    skew_ms: int = 30_000
-    calls_per_s: float = 8.0
-    call_burst: float = 4.0
-    trust_ms: int = 1_000
-    max_claims: int = 20_000
-    retry_ms: int = 100
-
-    @property
-    def ring_size(self) -> int:
-        """Return the number of ledger documents per shard."""
-        span_ms = self.horizon_ms + 2 * self.skew_ms
-        return span_ms // self.window_ms + 2
-
-
-class ClaimDecision(enum.Enum):
-    """The end of a claim request."""
-
-    GRANTED = "granted"
-    HELD = "held"
-    EXPIRED = "expired"
-    UNAVAILABLE = "unavailable"
-    OVERLOADED = "overloaded"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadLedger:
-    """Action: read a ledger and report it with `ClaimBook.on_read`."""
-
-    ledger_id: state.LedgerId
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteLedger:
-    """Action: swap a ledger and report with `ClaimBook.on_write`."""
-
-    ledger_id: state.LedgerId
-    ledger: state.Ledger
-    expected_version: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimDecided:
-    """Action: tell the request of `attempt` its decision."""
-
-    attempt: int
-    decision: ClaimDecision
-    holder: str = ""
-
-
-ClaimAction = ReadLedger | WriteLedger | ClaimDecided
+__all__ = ["ClaimBook", "claim_owner"]
 
 
 @dataclasses.dataclass(slots=True)
@@ -166,7 +79,7 @@
         Monotonic time.
     wall_clock : state.Clock
         Unix time, compared with the issue time of keys.
-    settings : ClaimSettings
+    settings : claim_actions.ClaimSettings
         Sizes and times.
     """
 
@@ -174,7 +87,7 @@
         self,
         clock: state.Clock,
         wall_clock: state.Clock,
-        settings: ClaimSettings,
+        settings: claim_actions.ClaimSettings,
     ) -> None:
         self.clock = clock
         self.wall_clock = wall_clock
@@ -193,31 +106,37 @@
 
     def request(
         self, key: state.ClaimKey, claim: state.Claim, timeout_ms: int
-    ) -> list[ClaimAction]:
+    ) -> list[claim_actions.ClaimAction]:
         """Ask for `key` on behalf of `claim.attempt`.
 
         Returns
         -------
-        list of ClaimAction
+        list of claim_actions.ClaimAction
             Ends in one `ClaimDecided` for the attempt, now or later.
         """
         if not self._in_horizon(key):
-            return [ClaimDecided(claim.attempt, ClaimDecision.EXPIRED)]
+            return [
+                claim_actions.ClaimDecided(
+                    claim.attempt, claim_actions.ClaimDecision.EXPIRED
+                )
+            ]
         entry = self.entries.setdefault(self.ledger_id(key), _Entry())
         give_up_at_ms = self.clock.now_ms() + timeout_ms
         entry.waiting[claim.attempt] = _Waiting(key, claim, give_up_at_ms)
         return self._advance(self.ledger_id(key), entry)
 
-    def release(self, key: state.ClaimKey, attempt: int) -> list[ClaimAction]:
+    def release(
+        self, key: state.ClaimKey, attempt: int
+    ) -> list[claim_actions.ClaimAction]:
         """Give back a claim whose request has certainly not run."""
         ledger_id = self.ledger_id(key)
         entry = self.entries.setdefault(ledger_id, _Entry())
         entry.releases[attempt] = key.digest
         return self._advance(ledger_id, entry)
 
-    def tick(self) -> list[ClaimAction]:
+    def tick(self) -> list[claim_actions.ClaimAction]:
         """Give up overdue requests and start what may now be sent."""
-        actions: list[ClaimAction] = []
+        actions: list[claim_actions.ClaimAction] = []
         for ledger_id, entry in list(self.entries.items()):
             actions += self._give_up(entry)
             actions += self._advance(ledger_id, entry)
@@ -237,7 +156,7 @@
         self,
         ledger_id: state.LedgerId,
         found: tuple[state.Ledger, int] | None,
-    ) -> list[ClaimAction]:
+    ) -> list[claim_actions.ClaimAction]:
         """Take the result of `ReadLedger`.
 
         Parameters
@@ -270,7 +189,7 @@
         ledger_id: state.LedgerId,
         written: state.Ledger,
         write: state.WriteResult,
-    ) -> list[ClaimAction]:
+    ) -> list[claim_actions.ClaimAction]:
         """Take the result of `WriteLedger`.
 
         A conflict and an unknown outcome both lead to reading back: an
@@ -296,7 +215,7 @@
 
     def _advance(
         self, ledger_id: state.LedgerId, entry: _Entry
-    ) -> list[ClaimAction]:
+    ) -> list[claim_actions.ClaimAction]:
         if entry.phase is not _Phase.IDLE or not entry.has_work():
             return []
         now_ms = self.clock.now_ms()
@@ -308,7 +227,7 @@
             return actions
         if entry.ledger is None or self._must_read_again(entry, now_ms):
             entry.phase = _Phase.READING
-            return [*actions, ReadLedger(ledger_id)]
+            return [*actions, claim_actions.ReadLedger(ledger_id)]
         return actions + self._write(ledger_id, entry)
 
     def _must_read_again(self, entry: _Entry, now_ms: int) -> bool:
@@ -326,16 +245,22 @@
             return None
         return None if held.attempt in entry.releases else held
 
-    def _refuse_held(self, entry: _Entry, now_ms: int) -> list[ClaimAction]:
+    def _refuse_held(
+        self, entry: _Entry, now_ms: int
+    ) -> list[claim_actions.ClaimAction]:
         if now_ms - entry.known_at_ms > self.settings.trust_ms:
             return []
-        actions: list[ClaimAction] = []
+        actions: list[claim_actions.ClaimAction] = []
         for attempt, waiting in list(entry.waiting.items()):
             held = self._holder(entry, waiting)
             if held is not None:
                 del entry.waiting[attempt]
                 actions.append(
-                    ClaimDecided(attempt, ClaimDecision.HELD, held.claimant)
+                    claim_actions.ClaimDecided(
+                        attempt,
+                        claim_actions.ClaimDecision.HELD,
+                        held.claimant,
+                    )
                 )
         return actions
 
@@ -350,7 +275,7 @@
 
     def _write(
         self, ledger_id: state.LedgerId, entry: _Entry
-    ) -> list[ClaimAction]:
+    ) -> list[claim_actions.ClaimAction]:
         assert entry.ledger is not None
         claims = dict(entry.ledger.claims)
         for attempt, digest in entry.releases.items():
@@ -362,23 +287,34 @@
             return actions + self._settle_in_flight(entry)
         entry.phase = _Phase.WRITING
         written = state.Ledger(window=ledger_id.window, claims=claims)
-        return [*actions, WriteLedger(ledger_id, written, entry.version)]
+        return [
+            *actions,
+            claim_actions.WriteLedger(ledger_id, written, entry.version),
+        ]
 
     def _add_waiting(
         self, entry: _Entry, claims: dict[bytes, state.Claim]
-    ) -> list[ClaimAction]:
+    ) -> list[claim_actions.ClaimAction]:
         """Put waiting claims into `claims`, the first of each key only."""
-        actions: list[ClaimAction] = []
+        actions: list[claim_actions.ClaimAction] = []
         batch = set()
         for attempt, waiting in list(entry.waiting.items()):
             if not self._in_horizon(waiting.key):
                 del entry.waiting[attempt]
-                actions.append(ClaimDecided(attempt, ClaimDecision.EXPIRED))
+                actions.append(
+                    claim_actions.ClaimDecided(
+                        attempt, claim_actions.ClaimDecision.EXPIRED
+                    )
+                )
                 continue
             full = len(claims) >= self.settings.max_claims
             if full and waiting.key.digest not in claims:
                 del entry.waiting[attempt]
-                actions.append(ClaimDecided(attempt, ClaimDecision.OVERLOADED))
+                actions.append(
+                    claim_actions.ClaimDecided(
+                        attempt, claim_actions.ClaimDecision.OVERLOADED
+                    )
+                )
                 continue
             holder = claims.setdefault(waiting.key.digest, waiting.claim)
             if holder.attempt == attempt:
@@ -387,10 +323,12 @@
         entry.in_flight = frozenset(batch)
         return actions
 
-    def _settle_in_flight(self, entry: _Entry) -> list[ClaimAction]:
+    def _settle_in_flight(
+        self, entry: _Entry
+    ) -> list[claim_actions.ClaimAction]:
         """Grant what the ledger now holds; undo what was given up."""
         assert entry.ledger is not None
-        actions: list[ClaimAction] = []
+        actions: list[claim_actions.ClaimAction] = []
         for attempt in entry.in_flight:
             waiting = entry.waiting.get(attempt)
             if waiting is None:
@@ -398,7 +336,11 @@
             held = entry.ledger.claims.get(waiting.key.digest)
             if held is not None and held.attempt == attempt:
                 del entry.waiting[attempt]
-                actions.append(ClaimDecided(attempt, ClaimDecision.GRANTED))
+                actions.append(
+                    claim_actions.ClaimDecided(
+                        attempt, claim_actions.ClaimDecision.GRANTED
+                    )
+                )
         entry.in_flight = frozenset()
         for attempt, digest in list(entry.unsure.items()):
             held = entry.ledger.claims.get(digest)
@@ -407,9 +349,9 @@
                 entry.releases[attempt] = digest
         return actions
 
-    def _give_up(self, entry: _Entry) -> list[ClaimAction]:
+    def _give_up(self, entry: _Entry) -> list[claim_actions.ClaimAction]:
         now_ms = self.clock.now_ms()
-        actions: list[ClaimAction] = []
+        actions: list[claim_actions.ClaimAction] = []
         for attempt, waiting in list(entry.waiting.items()):
             if waiting.give_up_at_ms > now_ms:
                 continue
@@ -417,13 +359,21 @@
             if waiting.written:
                 # The write may still take effect.
                 entry.unsure[attempt] = waiting.key.digest
-            actions.append(ClaimDecided(attempt, ClaimDecision.UNAVAILABLE))
+            actions.append(
+                claim_actions.ClaimDecided(
+                    attempt, claim_actions.ClaimDecision.UNAVAILABLE
+                )
+            )
         return actions
 
-    def _expire(self, ledger_id: state.LedgerId) -> list[ClaimAction]:
+    def _expire(
+        self, ledger_id: state.LedgerId
+    ) -> list[claim_actions.ClaimAction]:
         entry = self.entries.pop(ledger_id)
         return [
-            ClaimDecided(attempt, ClaimDecision.EXPIRED)
+            claim_actions.ClaimDecided(
+                attempt, claim_actions.ClaimDecision.EXPIRED
+            )
             for attempt in entry.waiting
         ]
 
--- a/poplarloft/coordination/membership.py
+++ b/poplarloft/coordination/membership.py
@@ -9,133 +9,19 @@
 import random
 
 from poplarloft.coordination import dissemination
+from poplarloft.coordination import gossip
+from poplarloft.coordination import probing
+from poplarloft.coordination import relaying
 from poplarloft.coordination import routing
 from poplarloft import state
 
-__all__ = [
-    "Membership",
-    "MembershipAction",
-    "MembershipSettings",
-    "SendAck",
-    "SendDigest",
-    "SendPing",
-    "SendPingRequest",
-    "SendRumours",
-]
+__all__ = ["Membership"]
 
 OTHER_THAN_RELAY = 0.2
 # Usage is flushed within its data centre, so it stays there.
 LOCAL_TOPICS = frozenset({"usage"})
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MembershipSettings:
-    """Times of the failure detector, in milliseconds.
-
-    Parameters
-    ----------
-    interval_ms : int
-        Time between two probes by one member.
-    direct_timeout_ms : int
-        Wait for a direct answer before others are asked to probe.
-    probe_timeout_ms : int
-        Wait for any answer before the target is suspected.
-    last_timeout_ms : int
-        Wait for an answer to the last probe of a suspect.
-    suspicion_ms : int
-        Time in which a suspect may refute.
-    indirect : int
-        Members asked to probe on one's behalf.
-    digest_every : int
-        Probes between two digests.
-    centres_per_round : int
-        Other data centres that a relay sends news to per probe.
-    news_at_once : int
-        Rumours in one message between data centres.
-    relays : int
-        Members of a data centre that talk to other data centres.
-    max_health : int
-        Limit of the local health score; timeouts grow with the score.
-    forget_ms : int
-        Time for which a dead member is remembered.
-    """
-
-    interval_ms: int = 200
-    direct_timeout_ms: int = 100
-    probe_timeout_ms: int = 250
-    last_timeout_ms: int = 150
-    suspicion_ms: int = 1_850
-    indirect: int = 3
-    digest_every: int = 10
-    centres_per_round: int = 3
-    news_at_once: int = 32
-    relays: int = 2
-    max_health: int = 4
-    forget_ms: int = 900_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendPing:
-    """Action: probe a member; `on_behalf_of` asked for it, or empty."""
-
-    to: str
-    sequence: int
-    on_behalf_of: str
-    rumours: tuple[state.Rumour, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendAck:
-    """Action: answer a probe."""
-
-    to: str
-    sequence: int
-    on_behalf_of: str
-    target: str
-    rumours: tuple[state.Rumour, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendPingRequest:
-    """Action: ask a member to probe `target`."""
-
-    to: str
-    target: str
-    sequence: int
-    rumours: tuple[state.Rumour, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendDigest:
-    """Action: send a digest; the answer mends what is missing."""
-
-    to: str
-    digest: tuple[int, ...]
-    is_answer: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendRumours:
-    """Action: send rumours, to a relay or as a repair."""
-
-    to: str
-    rumours: tuple[state.Rumour, ...]
-
-
-MembershipAction = (
-    SendPing | SendAck | SendPingRequest | SendDigest | SendRumours
-)
-
-
-@dataclasses.dataclass(slots=True)
-class _Probe:
-    target: str
-    sequence: int
-    sent_at_ms: int
-    indirect_sent: bool = False
-    is_last: bool = False
-
-
 class Membership:
     """One member's view of the fleet.
 
@@ -149,7 +35,7 @@
         This instance.
     store : dissemination.RumourStore
         Rumours, of which member records are one kind.
-    settings : MembershipSettings
+    settings : gossip.MembershipSettings
         Times.
     """
 
@@ -159,22 +45,21 @@
         rng: random.Random,
         me: state.MemberRecord,
         store: dissemination.RumourStore,
-        settings: MembershipSettings | None = None,
+        settings: gossip.MembershipSettings | None = None,
     ) -> None:
         self.clock = clock
         self.rng = rng
         self.me = me
         self.store = store
-        self.settings = settings or MembershipSettings()
+        self.settings = settings or gossip.MembershipSettings()
         self.members: dict[str, state.MemberRecord] = {me.name: me}
-        self.probes: dict[int, _Probe] = {}
+        self.probes = probing.ProbeTable(clock, self.settings)
         self.suspected_at_ms: dict[str, int] = {}
         self.dead_at_ms: dict[str, int] = {}
         self.health = 0
-        self.sequence = 0
         self.round = 0
         self.order: list[str] = []
-        self.remote_queues: dict[str, dict[tuple[str, str], None]] = {}
+        self.news = relaying.NewsQueues(rng)
         self.next_probe_ms = clock.now_ms()
         self.ticked_at_ms = clock.now_ms()
         store.put(me)
@@ -209,13 +94,12 @@
     def next_wake_ms(self) -> int:
         """Return when `tick` has something to do."""
         times = [self.next_probe_ms]
-        for probe in self.probes.values():
-            times.append(self._deadline_ms(probe))
+        times += self.probes.deadlines_ms(self.health)
         for name in self.suspected_at_ms:
             times.append(self._suspicion_ends_ms(name))
         return min(times)
 
-    def tick(self) -> list[MembershipAction]:
+    def tick(self) -> list[gossip.MembershipAction]:
         """Probe, give up probes, end suspicions."""
         self._forgive_own_pause()
         actions = self._check_probes()
@@ -224,13 +108,13 @@
             actions += self._begin_round()
         return actions
 
-    def leave(self) -> list[MembershipAction]:
+    def leave(self) -> list[gossip.MembershipAction]:
         """Tell others that this member goes by its own will."""
         self._restate(state.MemberStatus.LEFT)
         targets = self._peers()
         self.rng.shuffle(targets)
         return [
-            SendRumours(name, (self.me,))
+            gossip.SendRumours(name, (self.me,))
             for name in targets[: self.settings.indirect]
         ]
 
@@ -242,26 +126,32 @@
 
     def on_ping(
         self, sender: str, sequence: int, on_behalf_of: str
-    ) -> list[MembershipAction]:
+    ) -> list[gossip.MembershipAction]:
         """Answer a probe."""
         riders = self._riders(sender)
-        return [SendAck(sender, sequence, on_behalf_of, self.me.name, riders)]
+        return [
+            gossip.SendAck(
+                sender, sequence, on_behalf_of, self.me.name, riders
+            )
+        ]
 
     def on_ping_request(
         self, sender: str, target: str, sequence: int
-    ) -> list[MembershipAction]:
+    ) -> list[gossip.MembershipAction]:
         """Probe `target` for `sender`."""
         if target not in self.members:
             return []
-        return [SendPing(target, sequence, sender, self._riders(target))]
+        return [
+            gossip.SendPing(target, sequence, sender, self._riders(target))
+        ]
 
     def on_ack(
         self, sequence: int, on_behalf_of: str, target: str
-    ) -> list[MembershipAction]:
+    ) -> list[gossip.MembershipAction]:
         """Take an answer, or pass it on to whom it is for."""
         if on_behalf_of and on_behalf_of != self.me.name:
             return [
-                SendAck(
+                gossip.SendAck(
                     on_behalf_of,
                     sequence,
                     on_behalf_of,
@@ -269,23 +159,24 @@
                     self._riders(),
                 )
             ]
-        probe = self.probes.pop(sequence, None)
-        if probe is not None:
+        if self.probes.answer(sequence):
             self.health = max(0, self.health - 1)
         return []
 
     def on_digest(
         self, sender: str, digest: tuple[int, ...], is_answer: bool
-    ) -> list[MembershipAction]:
+    ) -> list[gossip.MembershipAction]:
         """Send what `sender` may lack; ask back once."""
         if digest == self.store.digest():
             return []
         differing = tuple(self.store.differing(digest))
-        actions: list[MembershipAction] = []
+        actions: list[gossip.MembershipAction] = []
         if differing:
-            actions.append(SendRumours(sender, differing))
+            actions.append(gossip.SendRumours(sender, differing))
         if not is_answer:
-            actions.append(SendDigest(sender, self.store.digest(), True))
+            actions.append(
+                gossip.SendDigest(sender, self.store.digest(), True)
+            )
         return actions
 
     def _on_record(self, record: state.MemberRecord) -> bool:
@@ -306,8 +197,7 @@
         if not self.store.put(rumour):
             return False
         if rumour.key[0] not in LOCAL_TOPICS and self.is_relay():
-            for centre in self._other_centres():
-                self.remote_queues.setdefault(centre, {})[rumour.key] = None
+            self.news.add(rumour.key, self._other_centres())
         return True
 
     def _note_status(self, record: state.MemberRecord) -> None:
@@ -355,39 +245,25 @@
         if gap_ms <= 2 * self.settings.interval_ms:
             return
         self.health = min(self.settings.max_health, self.health + 1)
-        for probe in self.probes.values():
-            probe.sent_at_ms += gap_ms
+        self.probes.shift(gap_ms)
         for name in self.suspected_at_ms:
             self.suspected_at_ms[name] += gap_ms
 
-    def _deadline_ms(self, probe: _Probe) -> int:
-        settings = self.settings
-        if probe.is_last:
-            return probe.sent_at_ms + settings.last_timeout_ms
-        wait_ms = settings.probe_timeout_ms
-        if not probe.indirect_sent:
-            wait_ms = settings.direct_timeout_ms
-        scale = 1 + self.health
-        return probe.sent_at_ms + wait_ms * scale
-
     def _suspicion_ends_ms(self, name: str) -> int:
         return self.suspected_at_ms[name] + self.settings.suspicion_ms
 
-    def _check_probes(self) -> list[MembershipAction]:
-        now_ms = self.clock.now_ms()
-        actions: list[MembershipAction] = []
-        for probe in list(self.probes.values()):
-            if now_ms < self._deadline_ms(probe):
-                continue
+    def _check_probes(self) -> list[gossip.MembershipAction]:
+        actions: list[gossip.MembershipAction] = []
+        for probe in self.probes.overdue(self.health):
             if not probe.indirect_sent:
                 probe.indirect_sent = True
                 actions += self._probe_indirectly(probe)
                 continue
-            del self.probes[probe.sequence]
+            self.probes.answer(probe.sequence)
             self._on_probe_failed(probe)
         return actions
 
-    def _on_probe_failed(self, probe: _Probe) -> None:
+    def _on_probe_failed(self, probe: probing.Probe) -> None:
         record = self.members.get(probe.target)
         if record is None:
             return
@@ -400,21 +276,23 @@
             self.health = min(self.settings.max_health, self.health + 1)
             self._state_of(probe.target, state.MemberStatus.SUSPECT)
 
-    def _probe_indirectly(self, probe: _Probe) -> list[MembershipAction]:
+    def _probe_indirectly(
+        self, probe: probing.Probe
+    ) -> list[gossip.MembershipAction]:
         helpers = [n for n in self._peers() if n != probe.target]
         chosen = self.rng.sample(
             helpers, min(self.settings.indirect, len(helpers))
         )
         riders = self._riders(probe.target)
         return [
-            SendPingRequest(name, probe.target, probe.sequence, riders)
+            gossip.SendPingRequest(name, probe.target, probe.sequence, riders)
             for name in chosen
         ]
 
-    def _end_suspicions(self) -> list[MembershipAction]:
+    def _end_suspicions(self) -> list[gossip.MembershipAction]:
         """Probe once more before a suspect counts as dead."""
         now_ms = self.clock.now_ms()
-        actions: list[MembershipAction] = []
+        actions: list[gossip.MembershipAction] = []
         for name in list(self.suspected_at_ms):
             if now_ms < self._suspicion_ends_ms(name):
                 continue
@@ -423,29 +301,28 @@
                 actions += self._probe_last(name)
         return actions
 
-    def _probe_last(self, name: str) -> list[MembershipAction]:
+    def _probe_last(self, name: str) -> list[gossip.MembershipAction]:
         """Probe a suspect directly and through others at once."""
         ping = self._probe(name, is_last=True)
-        probe = self.probes[ping.sequence]
-        probe.indirect_sent = True
+        probe = self.probes.probes[ping.sequence]
         return [ping, *self._probe_indirectly(probe)]
 
-    def _begin_round(self) -> list[MembershipAction]:
+    def _begin_round(self) -> list[gossip.MembershipAction]:
         self.next_probe_ms = self.clock.now_ms() + self.settings.interval_ms
         self.round += 1
         self._forget_dead()
-        actions: list[MembershipAction] = []
+        actions: list[gossip.MembershipAction] = []
         target = self._next_target()
         if target is not None:
             actions.append(self._probe(target))
             if self.round % self.settings.digest_every == 0:
                 digest = self.store.digest()
-                actions.append(SendDigest(target, digest))
+                actions.append(gossip.SendDigest(target, digest))
         actions += self._talk_to_other_data_centres()
         actions += self._try_a_dead_neighbour()
         return actions
 
-    def _try_a_dead_neighbour(self) -> list[MembershipAction]:
+    def _try_a_dead_neighbour(self) -> list[gossip.MembershipAction]:
         """Now and then greet a dead member, which may only be cut off."""
         if self.round % self.settings.digest_every:
             return []
@@ -458,17 +335,13 @@
         if not dead:
             return []
         name = self.rng.choice(dead)
-        return [SendRumours(name, (self.members[name], self.me))]
-
-    def _probe(self, target: str, is_last: bool = False) -> SendPing:
-        self.sequence += 1
-        self.probes[self.sequence] = _Probe(
-            target,
-            self.sequence,
-            self.clock.now_ms(),
-            is_last=is_last,
+        return [gossip.SendRumours(name, (self.members[name], self.me))]
+
+    def _probe(self, target: str, is_last: bool = False) -> gossip.SendPing:
+        probe = self.probes.begin(target, is_last)
+        return gossip.SendPing(
+            target, probe.sequence, "", self._riders(target)
         )
-        return SendPing(target, self.sequence, "", self._riders(target))
 
     def _next_target(self) -> str | None:
         """Return members in a random order, each once per pass."""
@@ -500,37 +373,34 @@
         others = [r for r in rumours if r != record]
         return (record, *others)
 
-    def _talk_to_other_data_centres(self) -> list[MembershipAction]:
+    def _talk_to_other_data_centres(self) -> list[gossip.MembershipAction]:
         """As a relay, pass news on to other data centres.
 
         A few centres with news are served per round, so that the load
         doesn't grow with the fleet; digests mend what gets lost.
         """
         if not self.is_relay():
-            self.remote_queues.clear()
+            self.news.clear()
             return []
-        actions: list[MembershipAction] = []
-        with_news = sorted(c for c, keys in self.remote_queues.items() if keys)
-        self.rng.shuffle(with_news)
-        for centre in with_news[: self.settings.centres_per_round]:
+        actions: list[gossip.MembershipAction] = []
+        for centre in self.news.centres(self.settings.centres_per_round):
             actions += self._send_news(centre)
         centres = self._other_centres()
         if centres and self.round % self.settings.digest_every == 0:
             target = self._remote_target(self.rng.choice(centres))
             if target is not None:
-                actions.append(SendDigest(target, self.store.digest()))
+                digest = self.store.digest()
+                actions.append(gossip.SendDigest(target, digest))
         return actions
 
-    def _send_news(self, centre: str) -> list[MembershipAction]:
+    def _send_news(self, centre: str) -> list[gossip.MembershipAction]:
         target = self._remote_target(centre)
         if target is None:
             return []
-        keys = list(self.remote_queues[centre])[: self.settings.news_at_once]
-        for key in keys:
-            del self.remote_queues[centre][key]
+        keys = self.news.take(centre, self.settings.news_at_once)
         found = [self.store.get(key) for key in keys]
-        news = tuple(rumour for rumour in found if rumour is not None)
-        return [SendRumours(target, news)]
+        rumours = tuple(rumour for rumour in found if rumour is not None)
+        return [gossip.SendRumours(target, rumours)]
 
     def _other_centres(self) -> list[str]:
         centres = {m.place.data_centre for m in self.members.values()}
--- a/poplarloft/coordination/routing.py
+++ b/poplarloft/coordination/routing.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "BLOCK_CHARS",
+    "CHARS_PER_TOKEN",
     "Candidate",
     "LeastLoaded",
     "LoadView",
@@ -32,6 +33,7 @@
 ]
 
 BLOCK_CHARS = 64
+CHARS_PER_TOKEN = 4
 OWNERS_SHORTLISTED = 4
 MAX_RANKED_PREFIXES = 10_000
 
@@ -119,6 +121,17 @@
     prompt_tokens: int = 0
     expected_tokens: int = 64
 
+    @classmethod
+    def of_prompt(
+        cls, prompt: str, expected_tokens: int = 64
+    ) -> "RouteRequest":
+        """Return the request of a prompt; its tokens are estimated."""
+        return cls(
+            tuple(prefix_blocks(prompt)),
+            len(prompt) // CHARS_PER_TOKEN,
+            expected_tokens,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -8,14 +8,14 @@
 from returns import result
 
 from poplarloft import coordination
+from poplarloft.daemon import calls
 from poplarloft.daemon import upstreams
 from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import http_client
 
-__all__ = ["Answer", "Dispatcher", "RelayCall", "route_request"]
+__all__ = ["Answer", "Dispatcher"]
 
-CHARS_PER_TOKEN = 4
 SERVICE_UNAVAILABLE = 503
 CRASH_CHECK_MS = 300
 HEAD_START_MS = 20
@@ -23,21 +23,6 @@
 PURPOSE_ANSWERED = "answered"
 PURPOSE_FAILED = "failed"
 MS_PER_S = 1_000
-HOP_BY_HOP = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 RESET_KINDS = frozenset(
     {
         coordination.FailureKind.RESET_AFTER_SEND,
@@ -50,38 +35,12 @@
 RumourSink = abc.Callable[[state.Rumour], None]
 
 
-@dataclasses.dataclass(slots=True)
-class RelayCall:
-    """One caller's request on its way.
-
-    `target` is the path and query at the upstream; `started_at_ms` and
-    `deadline_ms` are times on the monotonic clock.
-    """
-
-    request: http.HttpRequest
-    headers: http.CallerHeaders
-    owner: str
-    route_name: str
-    route: state.RouteBody
-    target: str
-    repeatable: bool
-    fingerprint: str
-    route_request: coordination.RouteRequest
-    started_at_ms: int
-    deadline_ms: int
-
-    @property
-    def flow_key(self) -> tuple[str, str]:
-        """Return what shares a retry budget and a cost estimate."""
-        return (self.owner, self.route_name)
-
-
 @dataclasses.dataclass(slots=True)
 class _Flight:
     """One attempt in flight; called once when it has ended."""
 
     dispatcher: "Dispatcher"
-    call: RelayCall
+    call: calls.RelayCall
     upstream: state.Upstream
     load_ticket: int
     guard_ticket: int
@@ -142,7 +101,7 @@
         self.health = coordination.HealthBook(clock)
         self.budgets: dict[tuple[str, str], coordination.RetryBudget] = {}
 
-    async def dispatch(self, call: RelayCall) -> Answer:
+    async def dispatch(self, call: calls.RelayCall) -> Answer:
         """Try upstreams until one answers or the plan gives up."""
         plan = coordination.AttemptPlan(
             self.clock,
@@ -178,7 +137,7 @@
                     excluded = tried
 
     def _may_wait(
-        self, call: RelayCall, standing: coordination.Standing
+        self, call: calls.RelayCall, standing: coordination.Standing
     ) -> bool:
         """Tell whether a suspect has time to wait for a place."""
         now_ms = self.clock.now_ms()
@@ -189,7 +148,7 @@
 
     def _candidates(
         self,
-        call: RelayCall,
+        call: calls.RelayCall,
         standing: coordination.Standing,
         excluded: frozenset[str],
     ) -> list[coordination.Candidate]:
@@ -213,7 +172,7 @@
         return [by_name[place]] if place is not None else []
 
     async def _attempt(
-        self, call: RelayCall, candidates: list[coordination.Candidate]
+        self, call: calls.RelayCall, candidates: list[coordination.Candidate]
     ) -> Attempt:
         route_request = call.route_request
         name = self.policy.choose(route_request, candidates).name
@@ -235,14 +194,16 @@
         finish()
         return outcome
 
-    def _absolve(self, call: RelayCall, response: http.HttpResponse) -> None:
+    def _absolve(
+        self, call: calls.RelayCall, response: http.HttpResponse
+    ) -> None:
         if isinstance(response.body, bytes):
             for rumour in self.guard.on_whole(call.fingerprint):
                 self.spread(rumour)
 
     def _note_dispatch(
         self,
-        call: RelayCall,
+        call: calls.RelayCall,
         upstream: state.Upstream,
         route_request: coordination.RouteRequest,
     ) -> "_Flight":
@@ -309,13 +270,13 @@
                 await asyncio.sleep(HEAD_START_MS / MS_PER_S)
 
     async def _send(
-        self, call: RelayCall, upstream: state.Upstream
+        self, call: calls.RelayCall, upstream: state.Upstream
     ) -> Attempt:
         sent = await self.client.send(
             upstream.address,
             call.request.method,
             call.target,
-            _forwarded_headers(call.request.headers),
+            calls.forwarded_headers(call.request.headers),
             call.request.body,
             max(1, call.deadline_ms - self.clock.now_ms()),
             fresh=not call.repeatable,
@@ -333,14 +294,14 @@
 
     async def _take_answer(
         self,
-        call: RelayCall,
+        call: calls.RelayCall,
         upstream: state.Upstream,
         answer: http_client.UpstreamAnswer,
     ) -> Attempt:
         """Return the upstream's answer, or the failure that it means."""
         if answer.status == SERVICE_UNAVAILABLE:
             return self._take_refusal(upstream, answer)
-        headers = _returned_headers(answer.headers)
+        headers = calls.returned_headers(answer.headers)
         if call.route.streamed:
             return result.Success(
                 http.HttpResponse(answer.status, headers, answer.chunks())
@@ -374,7 +335,7 @@
             kind = coordination.FailureKind.REFUSED_WITH_PROOF
         return result.Failure(coordination.Failure(upstream.name, kind))
 
-    def _budget(self, call: RelayCall) -> coordination.RetryBudget:
+    def _budget(self, call: calls.RelayCall) -> coordination.RetryBudget:
         budget = self.budgets.get(call.flow_key)
         if budget is None:
             budget = coordination.RetryBudget(self.clock)
@@ -398,24 +359,3 @@
         "requests with this body crashed upstreams and are quarantined; "
         "an operator can release the fingerprint",
     )
-
-
-def route_request(body: bytes) -> coordination.RouteRequest:
-    """Return what routing needs to know of a request's body."""
-    prompt = body.decode("utf-8", "replace")
-    return coordination.RouteRequest(
-        tuple(coordination.prefix_blocks(prompt)),
-        len(prompt) // CHARS_PER_TOKEN,
-    )
-
-
-def _forwarded_headers(
-    headers: dict[str, str],
-) -> abc.Iterable[tuple[str, str]]:
-    return [(n, v) for n, v in headers.items() if n not in HOP_BY_HOP]
-
-
-def _returned_headers(
-    headers: dict[str, str],
-) -> tuple[tuple[str, str], ...]:
-    return tuple((n, v) for n, v in headers.items() if n not in HOP_BY_HOP)
--- a/poplarloft/daemon/generation.py
+++ b/poplarloft/daemon/generation.py
@@ -21,7 +21,6 @@
 SCORE_TIMEOUT_MS = 5_000
 SCORE_RETRY_MS = 200
 SCORE_RETRY_LIMIT_MS = 5_000
-CHARS_PER_TOKEN = 4
 PURPOSE_ROLLOUT = "rollout"
 PURPOSE_WASTE = "waste"
 MS_PER_S = 1_000
@@ -90,10 +89,8 @@
         on_progress: Progress,
     ) -> Generation:
         """Stream one sample from an engine of `service` for `owner`."""
-        request = coordination.RouteRequest(
-            tuple(coordination.prefix_blocks(order.prompt)),
-            len(order.prompt) // CHARS_PER_TOKEN,
-            order.max_tokens,
+        request = coordination.RouteRequest.of_prompt(
+            order.prompt, order.max_tokens
         )
         candidates = self._fresh_candidates(
             service, order.min_version, request
--- a/poplarloft/daemon/relay.py
+++ b/poplarloft/daemon/relay.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from poplarloft import coordination
+from poplarloft.daemon import calls
 from poplarloft.daemon import claims
 from poplarloft.daemon import configuration
 from poplarloft.daemon import dispatch
@@ -87,7 +88,7 @@
 
     def _check(
         self, request: http.HttpRequest
-    ) -> result.Result[dispatch.RelayCall, state.Refusal]:
+    ) -> result.Result[calls.RelayCall, state.Refusal]:
         """Check the request against the configuration."""
         try:
             headers = http.parse_caller_headers(request.headers)
@@ -124,13 +125,13 @@
         document: state.Document,
         route: state.RouteBody,
         rest: str,
-    ) -> dispatch.RelayCall:
+    ) -> calls.RelayCall:
         now_ms = self.clock.now_ms()
         timeout_ms = min(
             headers.deadline_ms or route.timeout_ms, route.timeout_ms
         )
         target = f"/{rest}?{request.query}" if request.query else f"/{rest}"
-        return dispatch.RelayCall(
+        return calls.RelayCall(
             request=request,
             headers=headers,
             owner=document.owner,
@@ -141,12 +142,14 @@
             fingerprint=http.request_fingerprint(
                 document.owner, document.name, request.body
             ),
-            route_request=dispatch.route_request(request.body),
+            route_request=coordination.RouteRequest.of_prompt(
+                request.body.decode("utf-8", "replace")
+            ),
             started_at_ms=now_ms,
             deadline_ms=now_ms + timeout_ms,
         )
 
-    async def _run(self, call: dispatch.RelayCall) -> dispatch.Answer:
+    async def _run(self, call: calls.RelayCall) -> dispatch.Answer:
         """Admit the request, claim it if it must be, dispatch it."""
         limited = self.limits.take(call.owner)
         if limited is not None:
@@ -204,7 +207,7 @@
                     future.set_result(refusal)
 
     async def _claim_and_dispatch(
-        self, call: dispatch.RelayCall
+        self, call: calls.RelayCall
     ) -> dispatch.Answer:
         if call.repeatable or call.headers.idempotency_key is None:
             return await self.dispatcher.dispatch(call)
@@ -257,9 +260,7 @@
         assert isinstance(document.body, state.RouteBody)
         return document, document.body, rest
 
-    def _record(
-        self, call: dispatch.RelayCall, answer: dispatch.Answer
-    ) -> None:
+    def _record(self, call: calls.RelayCall, answer: dispatch.Answer) -> None:
         prefix = f"{call.owner}.{call.headers.request_class}"
         self._observe(call, "total", self.clock.now_ms() - call.started_at_ms)
         match answer:
@@ -269,7 +270,7 @@
                 self.metrics.count(f"{prefix}.refused.{refusal.reason}")
 
     def _observe(
-        self, call: dispatch.RelayCall, stage: str, duration_ms: int
+        self, call: calls.RelayCall, stage: str, duration_ms: int
     ) -> None:
         request_class = call.headers.request_class
         key = coordination.HistogramKey(call.owner, request_class, stage)
@@ -317,5 +318,5 @@
 
 def _refuse(
     reason: state.Reason, detail: str
-) -> result.Result[dispatch.RelayCall, state.Refusal]:
+) -> result.Result[calls.RelayCall, state.Refusal]:
     return result.Failure(state.Refusal(reason, state.Verdict.NOT_RUN, detail))
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -24,7 +24,6 @@
 
 TOKENS_PER_VERSION = 1_000_000
 POISON = "crash-the-engine"
-CHARS_PER_TOKEN = 4
 MS_PER_S = 1_000
 FEW_TOKENS = 4
 OK = 200
@@ -209,7 +208,7 @@
             if block in self.cache:
                 self.cache.move_to_end(block)
                 continue
-            missing += coordination.BLOCK_CHARS // CHARS_PER_TOKEN
+            missing += coordination.BLOCK_CHARS // coordination.CHARS_PER_TOKEN
             self.cache[block] = None
         while len(self.cache) > self.cache_blocks:
             self.cache.popitem(last=False)
