--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -9,6 +9,7 @@
 
 from poplarloft import coordination
 from poplarloft.daemon import calls
+from poplarloft.daemon import resuming
 from poplarloft.daemon import upstreams
 from poplarloft.protocol import http
 from poplarloft import state
@@ -99,6 +100,7 @@
         self.spread = spread
         self.meter = meter
         self.health = coordination.HealthBook(clock)
+        self.resumer = resuming.StreamResumer(self._send_rest)
         self.budgets: dict[tuple[str, str], coordination.RetryBudget] = {}
 
     async def dispatch(self, call: calls.RelayCall) -> Answer:
@@ -186,6 +188,8 @@
                 self.health.on_success(name)
                 if not isinstance(body, bytes):
                     watched = self._watch_stream(body, upstream, finish)
+                    if self.resumer.applies(call, upstream):
+                        watched = self.resumer.relay(call, upstream, watched)
                     return result.Success(
                         dataclasses.replace(response, body=watched)
                     )
@@ -194,6 +198,44 @@
         finish()
         return outcome
 
+    async def _send_rest(
+        self,
+        call: calls.RelayCall,
+        excluded: frozenset[str],
+        weight_version: int | None,
+    ) -> Attempt:
+        """Send a broken stream's rest to an engine of its version."""
+        reports = self.upstreams.load.reports
+        candidates = [
+            candidate
+            for candidate in self.upstreams.candidates(
+                call.route.service, excluded, call.route_request
+            )
+            if weight_version is None
+            or candidate.name in reports
+            and reports[candidate.name].weight_version == weight_version
+        ]
+        if not candidates:
+            return result.Failure(
+                coordination.Failure(
+                    "", coordination.FailureKind.HALF_ANSWER, "no engine"
+                )
+            )
+        name = self.policy.choose(call.route_request, candidates).name
+        upstream = self.upstreams.find(name)
+        finish = self._note_dispatch(call, upstream, call.route_request)
+        outcome = await self._send(call, upstream)
+        match outcome:
+            case result.Success(http.HttpResponse(body=body) as response):
+                if not isinstance(body, bytes):
+                    finish.purpose = PURPOSE_ANSWERED
+                    rest = self._watch_stream(body, upstream, finish)
+                    return result.Success(
+                        dataclasses.replace(response, body=rest)
+                    )
+        finish()
+        return outcome
+
     def _absolve(
         self, call: calls.RelayCall, response: http.HttpResponse
     ) -> None:
--- /dev/null
+++ b/poplarloft/daemon/resuming.py
@@ -0,0 +1,108 @@
+"""Goes on with a broken completion stream on another engine."""
+
+from collections import abc
+import dataclasses
+
+import eliot
+import msgspec
+from returns import result
+
+from poplarloft import coordination
+from poplarloft.daemon import calls
+from poplarloft.protocol import http
+from poplarloft.protocol import streams
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["StreamResumer"]
+
+COMPLETIONS_PATH = "/v1/completions"
+MAX_RESUMES = 2
+
+Attempt = result.Result[http.HttpResponse, coordination.Failure]
+Send = abc.Callable[
+    [calls.RelayCall, frozenset[str], int | None], abc.Awaitable[Attempt]
+]
+
+
+class StreamResumer:
+    """Relays completion streams so that a break need not end them.
+
+    Only whole lines pass, so the caller never sees a part of a line that
+    another engine then repeats. Each line names the version and engine
+    that produced it; a stream goes on only under the version that it
+    broke off with.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a call to an engine outside a set and of a weight version.
+    """
+
+    def __init__(self, send: Send) -> None:
+        self.send = send
+
+    def applies(self, call: calls.RelayCall, upstream: state.Upstream) -> bool:
+        """Tell whether a call's stream can be resumed."""
+        return (
+            upstream.kind is state.UpstreamKind.ENGINE
+            and call.repeatable
+            and call.target == COMPLETIONS_PATH
+            and streams.read_completion(call.request.body) is not None
+        )
+
+    async def relay(
+        self,
+        call: calls.RelayCall,
+        upstream: state.Upstream,
+        body: abc.AsyncIterator[bytes],
+    ) -> abc.AsyncIterator[bytes]:
+        """Yield whole lines, over a break on another engine.
+
+        Raises
+        ------
+        AnswerCut
+            If no other engine can go on.
+        """
+        request = streams.read_completion(call.request.body)
+        assert request is not None
+        record = streams.StreamRecord(request)
+        tried = frozenset({upstream.name})
+        for _ in range(MAX_RESUMES + 1):
+            try:
+                async for lines in streams.whole_lines(body):
+                    for line in lines:
+                        record.on_line(line)
+                    yield b"".join(lines)
+            except (http_client.AnswerCut, msgspec.MsgspecError):
+                pass
+            finally:
+                await body.aclose()  # type: ignore[attr-defined]
+            if record.done:
+                return
+            body = await self._next(call, record, tried)
+        raise http_client.AnswerCut("the stream broke too often")
+
+    async def _next(
+        self,
+        call: calls.RelayCall,
+        record: streams.StreamRecord,
+        tried: frozenset[str],
+    ) -> abc.AsyncIterator[bytes]:
+        """Return the rest of the stream from another engine."""
+        resumed = dataclasses.replace(
+            call,
+            request=dataclasses.replace(
+                call.request, body=record.resume_body()
+            ),
+        )
+        eliot.log_message(
+            "stream-resumed",
+            route=call.route_name,
+            tokens=len(record.tokens),
+        )
+        match await self.send(resumed, tried, record.weight_version):
+            case result.Success(http.HttpResponse(status=200, body=body)):
+                if not isinstance(body, bytes):
+                    return body
+        raise http_client.AnswerCut("no engine could go on with the stream")
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -94,6 +94,9 @@
 from poplarloft.protocol.snapshots import decode_snapshot
 from poplarloft.protocol.snapshots import encode_snapshot
 from poplarloft.protocol.snapshots import Snapshot
+from poplarloft.protocol.streams import read_completion
+from poplarloft.protocol.streams import StreamRecord
+from poplarloft.protocol.streams import whole_lines
 from poplarloft.protocol.usage import append_entry
 from poplarloft.protocol.usage import decode_segment
 from poplarloft.protocol.usage import encode_segment
@@ -194,6 +197,7 @@
     "ProtocolError",
     "PullAnswer",
     "PullRequest",
+    "read_completion",
     "read_cookie",
     "readable",
     "request_fingerprint",
@@ -203,7 +207,9 @@
     "settings_reference",
     "Snapshot",
     "StreamLine",
+    "StreamRecord",
     "UpstreamRow",
     "WeightOrder",
+    "whole_lines",
     "with_end",
 ]
