Close sessions that are cancelled unbegun

Cause: one run of the poison test ended with an innocent's 504. A session that was cancelled before its first step ran none of its own code, so its connection stayed open and the client waited until its deadline. Ruled out: the wait for a place (2 s at most), retries, the retry budget; 60 runs alone took 1.1 s at most. Reading the answer's body had no bound of its own either.

Usage entries can be disputed.

--- a/poplarloft/cli/usage_commands.py
+++ b/poplarloft/cli/usage_commands.py
@@ -2,9 +2,13 @@
 
 import dataclasses
 import json
+import typing
+
+from cleo.helpers import argument
 
 from poplarloft.cli import base
 from poplarloft import coordination
+from poplarloft.protocol import errors
 from poplarloft.protocol import usage
 from poplarloft import state
 
@@ -67,4 +71,46 @@
         return 0
 
 
-USAGE_COMMANDS = [UsageExport, UsageShow, UsageVerify]
+class UsageDispute(base.DaemonCommand):
+    """Disputes an entry."""
+
+    name = "usage dispute"
+    description = "Dispute an entry of the ledger, with a reason"
+    arguments: typing.ClassVar[list[typing.Any]] = [
+        argument("sequence", "The entry's sequence"),
+        argument("reason", "Why, for the other owner to read"),
+    ]
+
+    def run_command(self) -> int:
+        """Send the dispute and show it."""
+        sequence = self.argument("sequence")
+        if not sequence.isdecimal():
+            raise errors.FieldError(
+                "sequence", f"expected a whole number, got {sequence!r}"
+            )
+        body = json.dumps({"reason": self.argument("reason")}).encode()
+        dispute = self.api.call("POST", f"/v1/usage/{sequence}/dispute", body)
+        self.show(dispute, ["sequence", "owner", "reason"], [dispute])
+        return 0
+
+
+class UsageDisputes(base.DaemonCommand):
+    """Lists disputes."""
+
+    name = "usage disputes"
+    description = "List the disputed entries of the ledger"
+
+    def run_command(self) -> int:
+        """Print a row per dispute."""
+        rows = self.api.rows("GET", "/v1/usage/disputes")
+        self.show(rows, ["sequence", "owner", "reason", "digest"], rows)
+        return 0
+
+
+USAGE_COMMANDS = [
+    UsageDispute,
+    UsageDisputes,
+    UsageExport,
+    UsageShow,
+    UsageVerify,
+]
--- a/poplarloft/daemon/frontend.py
+++ b/poplarloft/daemon/frontend.py
@@ -2,9 +2,12 @@
 
 import typing
 
+from returns import result
+
 from poplarloft.daemon import console
 from poplarloft.daemon import operators
 from poplarloft.daemon import relay
+from poplarloft.protocol import errors
 from poplarloft.protocol import http
 from poplarloft.protocol import operators as messages
 from poplarloft.protocol import usage as usage_form
@@ -58,10 +61,7 @@
                 return await self.console.handle(request, parts)
             case method, ["v1", *parts]:
                 return await self._operate(request, method, parts)
-        return operators.refuse(
-            state.Reason.UNKNOWN_ROUTE,
-            f"nothing answers {request.method} {request.path[:200]!r}",
-        )
+        return _unknown(request)
 
     async def _operate(
         self, request: http.HttpRequest, method: str, parts: list[str]
@@ -78,27 +78,46 @@
                 return http.json_response(200, self.status())
             case "GET", ["histograms"]:
                 return http.json_response(200, self.histograms(owner))
-            case "GET", ["config"]:
-                return await self.operators.show()
-            case "POST", ["config", "proposals"]:
-                return await self.operators.propose(owner, request)
-            case "POST", ["config", "proposals", proposal_id, "accept"]:
-                return await self.operators.accept(owner, proposal_id)
-            case "POST", ["config", "proposals", proposal_id, "withdraw"]:
-                return await self.operators.withdraw(owner, proposal_id)
-            case "POST", ["config", "proposals", proposal_id, "dispute"]:
-                return await self.operators.dispute(
-                    owner, proposal_id, request
-                )
-            case "GET", ["usage"]:
-                return await self._usage()
             case "POST", ["drain"]:
                 self.node.stop_requested.set()
                 return http.json_response(202, {"draining": True})
-        return operators.refuse(
-            state.Reason.UNKNOWN_ROUTE,
-            f"nothing answers {method} {request.path[:200]!r}",
-        )
+            case _, ["config", *rest]:
+                return await self._configure(request, owner, rest)
+            case _, ["usage", *rest]:
+                return await self._account(request, owner, rest)
+        return _unknown(request)
+
+    async def _configure(
+        self, request: http.HttpRequest, owner: str, parts: list[str]
+    ) -> http.HttpResponse:
+        """Answer an operator about the configuration."""
+        api = self.operators
+        match request.method, parts:
+            case "GET", []:
+                return await api.show()
+            case "POST", ["proposals"]:
+                return await api.propose(owner, request)
+            case "POST", ["proposals", proposal_id, "accept"]:
+                return await api.accept(owner, proposal_id)
+            case "POST", ["proposals", proposal_id, "withdraw"]:
+                return await api.withdraw(owner, proposal_id)
+            case "POST", ["proposals", proposal_id, "dispute"]:
+                return await api.dispute(owner, proposal_id, request)
+        return _unknown(request)
+
+    async def _account(
+        self, request: http.HttpRequest, owner: str, parts: list[str]
+    ) -> http.HttpResponse:
+        """Answer an operator about the usage ledger."""
+        match request.method, parts:
+            case "GET", []:
+                return await self._usage()
+            case "GET", ["disputes"]:
+                disputes = await self.node.usage.disputes()
+                return http.json_response(200, disputes or ())
+            case "POST", [sequence, "dispute"] if sequence.isdecimal():
+                return await self._dispute_usage(owner, int(sequence), request)
+        return _unknown(request)
 
     def _readiness(self) -> http.HttpResponse:
         if self.node.is_ready:
@@ -120,6 +139,21 @@
             200, (("content-type", "application/json"),), body
         )
 
+    async def _dispute_usage(
+        self, owner: str, sequence: int, request: http.HttpRequest
+    ) -> http.HttpResponse:
+        try:
+            reason = messages.decode_reason(request.body)
+        except errors.FieldError as error:
+            return operators.refuse(state.Reason.BAD_REQUEST, str(error))
+        disputed = await self.node.usage.dispute(owner, sequence, reason)
+        match disputed:
+            case result.Success(dispute):
+                return http.json_response(200, dispute)
+            case result.Failure(refusal):
+                return http.problem_response(refusal)
+        raise AssertionError(disputed)
+
     def status(self) -> messages.InstanceStatus:
         """Return what operators see of this instance."""
         node = self.node
@@ -185,3 +219,10 @@
             for s in self.node.histograms.summaries()
             if s.key.owner == owner
         ]
+
+
+def _unknown(request: http.HttpRequest) -> http.HttpResponse:
+    return operators.refuse(
+        state.Reason.UNKNOWN_ROUTE,
+        f"nothing answers {request.method} {request.path[:200]!r}",
+    )
--- a/poplarloft/daemon/usage.py
+++ b/poplarloft/daemon/usage.py
@@ -107,6 +107,70 @@
             entries += segment.entries
             number += 1
 
+    async def disputes(self) -> tuple[state.UsageDispute, ...] | None:
+        """Return the disputes of the ledger, or None if unreadable."""
+        found = await self._read_disputes()
+        return None if found is None else found[0]
+
+    async def dispute(
+        self, owner: str, sequence: int, reason: str
+    ) -> result.Result[state.UsageDispute, state.Refusal]:
+        """Add an owner's dispute of an entry; a repeat changes nothing."""
+        entries = await self.entries()
+        if entries is None:
+            return _refuse(
+                state.Reason.NOT_READY,
+                state.Verdict.NOT_RUN,
+                "the ledger is unreadable",
+            )
+        if not 0 <= sequence < len(entries):
+            return _refuse(
+                state.Reason.BAD_REQUEST,
+                state.Verdict.NOT_RUN,
+                f"entry {sequence} does not exist, the ledger has "
+                f"{len(entries)}",
+            )
+        made = state.UsageDispute(
+            sequence,
+            entries[sequence].digest,
+            owner,
+            reason,
+            self.wall_clock.now_ms(),
+        )
+        for _ in range(MAX_TRIES):
+            found = await self._read_disputes()
+            if found is None:
+                break
+            known, version = found
+            for other in known:
+                if (other.owner, other.sequence) == (owner, sequence):
+                    return result.Success(other)
+            write = await self.store.compare_and_swap(
+                usage.disputes_key(self.data_centre),
+                usage.encode_disputes((*known, made)),
+                version,
+            )
+            if write.outcome is state.WriteOutcome.APPLIED:
+                return result.Success(made)
+        return _refuse(
+            state.Reason.NOT_READY,
+            state.Verdict.MAY_HAVE_RUN,
+            "the key-value service did not settle the dispute; repeat it",
+        )
+
+    async def _read_disputes(
+        self,
+    ) -> tuple[tuple[state.UsageDispute, ...], int] | None:
+        match await self.store.get(usage.disputes_key(self.data_centre)):
+            case result.Success(versioned):
+                try:
+                    known = usage.decode_disputes(versioned.value)
+                except msgspec.MsgspecError as error:
+                    eliot.log_message("usage-unreadable", error=str(error))
+                    return None
+                return known, versioned.version
+        return None
+
     def _on_rumour(self, rumour: state.Rumour) -> None:
         if isinstance(rumour, state.UsageRumour):
             self.book.on_rumour(rumour)
@@ -175,3 +239,9 @@
                     return None
                 return segment, versioned.version
         return None
+
+
+def _refuse(
+    reason: state.Reason, verdict: state.Verdict, detail: str
+) -> result.Result[state.UsageDispute, state.Refusal]:
+    return result.Failure(state.Refusal(reason, verdict, detail))
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -98,7 +98,10 @@
 from poplarloft.protocol.streams import StreamRecord
 from poplarloft.protocol.streams import whole_lines
 from poplarloft.protocol.usage import append_entry
+from poplarloft.protocol.usage import decode_disputes
 from poplarloft.protocol.usage import decode_segment
+from poplarloft.protocol.usage import disputes_key
+from poplarloft.protocol.usage import encode_disputes
 from poplarloft.protocol.usage import encode_segment
 from poplarloft.protocol.usage import ENTRIES_PER_SEGMENT
 from poplarloft.protocol.usage import export_csv
@@ -120,6 +123,7 @@
     "cookie_header",
     "csrf_token",
     "DaemonSettings",
+    "decode_disputes",
     "decode_document",
     "decode_engine_state",
     "decode_head",
@@ -136,9 +140,11 @@
     "decode_segment",
     "decode_snapshot",
     "decode_stream_line",
+    "disputes_key",
     "document_from_form",
     "document_schema",
     "encode",
+    "encode_disputes",
     "encode_document",
     "encode_head",
     "encode_instances",
--- a/poplarloft/protocol/usage.py
+++ b/poplarloft/protocol/usage.py
@@ -15,7 +15,10 @@
     "ENTRIES_PER_SEGMENT",
     "LedgerFault",
     "append_entry",
+    "decode_disputes",
     "decode_segment",
+    "disputes_key",
+    "encode_disputes",
     "encode_segment",
     "export_csv",
     "find_fault",
@@ -33,6 +36,7 @@
         self.sequence = sequence
 
 
+_DISPUTES = msgspec.json.Decoder(tuple[state.UsageDispute, ...])
 _SEGMENT = msgspec.json.Decoder(state.UsageSegment)
 
 
@@ -41,6 +45,21 @@
     return f"usage/{data_centre}/{number}"
 
 
+def disputes_key(data_centre: str) -> str:
+    """Return the key of the disputes of a ledger."""
+    return f"usage/{data_centre}/disputes"
+
+
+def decode_disputes(data: bytes) -> tuple[state.UsageDispute, ...]:
+    """Return stored disputes; raises `msgspec.MsgspecError`."""
+    return _DISPUTES.decode(data) if data else ()
+
+
+def encode_disputes(disputes: tuple[state.UsageDispute, ...]) -> bytes:
+    """Return the stored form of disputes."""
+    return msgspec.json.encode(disputes)
+
+
 def append_entry(
     segment: state.UsageSegment, entry: state.UsageEntry
 ) -> state.UsageSegment:
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -53,6 +53,7 @@
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
 from poplarloft.state.upstream import UpstreamStatus
+from poplarloft.state.usage import UsageDispute
 from poplarloft.state.usage import UsageEntry
 from poplarloft.state.usage import UsageSegment
 from poplarloft.state.usage import UsageTotal
@@ -110,6 +111,7 @@
     "Upstream",
     "UpstreamKind",
     "UpstreamStatus",
+    "UsageDispute",
     "UsageEntry",
     "UsageRumour",
     "UsageSegment",
--- a/poplarloft/state/usage.py
+++ b/poplarloft/state/usage.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ["UsageEntry", "UsageSegment", "UsageTotal"]
+__all__ = ["UsageDispute", "UsageEntry", "UsageSegment", "UsageTotal"]
 
 
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
@@ -61,6 +61,20 @@
     digest: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageDispute:
+    """An owner's objection to an entry, which stays as it is.
+
+    `digest` is the entry's, so that the objection names one content.
+    """
+
+    sequence: int
+    digest: str
+    owner: str
+    reason: str
+    at_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageSegment:
     """A stored part of a ledger: a bounded run of entries."""
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -68,7 +68,8 @@
     """The head of an answer, and its body as it arrives.
 
     An answer that isn't read to its end must be closed; its connection
-    is not used again.
+    is not used again. A body that stands still for `idle_timeout_ms` is
+    cut.
     """
 
     def __init__(
@@ -77,10 +78,12 @@
         address: state.Address,
         connection: _Connection,
         head: h11.Response,
+        idle_timeout_ms: int,
     ) -> None:
         self.pool = pool
         self.address = address
         self.connection = connection
+        self.idle_timeout_ms = idle_timeout_ms
         self.status = int(head.status_code)
         self.headers = {
             name.decode("ascii"): value.decode("latin-1")
@@ -118,11 +121,16 @@
     async def _read_piece(self) -> bytes:
         """Return what one read of the socket brought."""
         try:
-            event = await self.connection.next_event()
+            async with asyncio.timeout(self.idle_timeout_ms / MS_PER_S):
+                event = await self.connection.next_event()
             pieces = []
             while isinstance(event, h11.Data):
                 pieces.append(bytes(event.data))
                 event = self.connection.buffered_event()
+        except TimeoutError as error:
+            raise AnswerCut(
+                f"nothing arrived in {self.idle_timeout_ms} ms"
+            ) from error
         except (OSError, h11.RemoteProtocolError) as error:
             raise AnswerCut(str(error) or "connection lost") from error
         if isinstance(event, h11.EndOfMessage):
@@ -173,7 +181,8 @@
         method, target, headers, body
             The request; length and host headers are added.
         timeout_ms : int
-            Longest time until the answer's head.
+            Longest time until the answer's head, and between two pieces
+            of its body.
         fresh : bool
             Whether to use a new connection: an idle one may have been
             closed by the upstream, which a request that must not run
@@ -259,7 +268,7 @@
                 await self._write(connection, request, body)
                 head = await _read_head(connection)
             return result.Success(
-                UpstreamAnswer(self, address, connection, head)
+                UpstreamAnswer(self, address, connection, head, timeout_ms)
             )
         except TimeoutError:
             kind = FailureKind.TIMEOUT
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -131,7 +131,9 @@
         session = _Session(self, reader, writer)
         task = asyncio.get_running_loop().create_task(_serve(session))
         self.sessions[task] = session
-        task.add_done_callback(self.sessions.pop)
+        # Closed here, since a task that is cancelled before its first step
+        # runs none of its own code.
+        task.add_done_callback(lambda ended: self.sessions.pop(ended).close())
 
 
 async def _serve(session: "_Session") -> None:
@@ -139,8 +141,6 @@
         await session.run()
     except (OSError, TimeoutError, h11.LocalProtocolError):
         pass
-    finally:
-        session.close()
 
 
 class _Session:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -156,6 +156,26 @@
             break
         await asyncio.sleep(0.1)
     assert booked_ms >= runs * work_ms - lost_at_most_ms
+    path = "/v1/usage/0/dispute"
+    for _ in range(2):
+        status, dispute = await operate(
+            client, daemons[0], OTHER, "POST", path, b'{"reason": "why?"}'
+        )
+        assert (status, dispute["digest"]) == (200, entries[0].digest)
+    _, disputes = await operate(
+        client, daemons[1], OWNER, "GET", "/v1/usage/disputes"
+    )
+    assert [d["owner"] for d in disputes] == [OTHER]
+    status, problem = await operate(
+        client,
+        daemons[0],
+        OTHER,
+        "POST",
+        "/v1/usage/9999/dispute",
+        b'{"reason": "why?"}',
+    )
+    assert status == 400
+    assert "entry 9999 does not exist" in problem["detail"]
     first_owner = {t.owner for e in entries for t in e.totals}
     assert first_owner == {OWNER}
 
