Let a restarted trainer go back to its checkpoint

Cause: found by reading. A pull for an older step never moved a lot back, so a trainer that restarted from an older checkpoint got nothing.

Change: a new incarnation of the trainer moves the lot, forward or back; pulls of an earlier incarnation that arrive late don't. An unused count and an unused method go.

--- a/poplarloft/coordination/lots.py
+++ b/poplarloft/coordination/lots.py
@@ -134,24 +134,35 @@
         self.buffer = delivery.SampleBuffer(lot.staleness_bound)
         self.work: dict[int, _Work] = {}
         self.holdings: state.Holdings | None = None
+        self.superseded: set[str] = set()
         self.waste = LotWaste()
-        self.delivered_tokens = 0
         self.next_attempt = 0
 
     def on_pull(self, holdings: state.Holdings) -> delivery.Offer:
         """Take a trainer's pull; return what to answer.
 
         An older pull that arrives late is answered from its own words
-        but does not move the lot back.
+        but does not move the lot back. A new incarnation of the trainer
+        may: it goes on from its own checkpoint.
         """
-        newest = self.holdings
-        if newest is None or _pull_order(holdings) >= _pull_order(newest):
-            self._note_publish(newest, holdings)
+        if self._is_newest(holdings):
+            self._note_publish(self.holdings, holdings)
             self.holdings = holdings
         offer = self.buffer.offer(holdings)
         self.waste.stale_tokens += sum(len(s.tokens) for s in offer.stale)
         return offer
 
+    def _is_newest(self, holdings: state.Holdings) -> bool:
+        newest = self.holdings
+        if newest is None:
+            return True
+        if holdings.trainer in self.superseded:
+            return False
+        if holdings.trainer != newest.trainer:
+            self.superseded.add(newest.trainer)
+            return True
+        return _pull_order(holdings) >= _pull_order(newest)
+
     def _note_publish(
         self, before: state.Holdings | None, now: state.Holdings
     ) -> None:
@@ -160,7 +171,10 @@
         A trainer that asks for the next step under the old version is
         still training on the step before.
         """
-        if before is None or now.weight_version > before.weight_version:
+        if before is None or before.trainer != now.trainer:
+            self.publish_pending = False
+            return
+        if now.weight_version > before.weight_version:
             self.publish_pending = False
         elif now.step > before.step:
             self.publish_pending = True
@@ -218,13 +232,6 @@
         )
         return self.buffer.put(sample)
 
-    def rescore(self, attempt: int) -> list[LotAction]:
-        """Return the order to score again after the scorer failed."""
-        work = self.work.get(attempt)
-        if work is None:
-            return []
-        return [ScoreSample(work.slot, attempt, work.tokens)]
-
     def _missing_slots(self) -> list[state.Slot]:
         """Return slots without a sample or work, in order of need."""
         assert self.holdings is not None
--- a/poplarloft/coordination/tests/test_delivery.py
+++ b/poplarloft/coordination/tests/test_delivery.py
@@ -161,3 +161,32 @@
     )
     with pytest.raises(ValueError, match="is below 3"):
         collector.publish(2)
+
+
+def _ready_runner(step):
+    runner = coordination.LotRunner(
+        state.ManualClock(), "lot", LOT, coordination.NoRedispatch(), 1
+    )
+    runner.on_pull(state.Holdings("t#1", step, step))
+    return runner
+
+
+def _planned_steps(runner):
+    return {
+        action.slot.step
+        for action in runner.plan(100)
+        if isinstance(action, coordination.GenerateSample)
+    }
+
+
+def test_restarted_trainer_goes_on_from_its_older_checkpoint():
+    runner = _ready_runner(step=2)
+    runner.on_pull(state.Holdings("t#2", 0, 0))
+    assert 0 in _planned_steps(runner)
+
+
+def test_late_pull_of_an_earlier_life_does_not_move_the_lot_back():
+    runner = _ready_runner(step=0)
+    runner.on_pull(state.Holdings("t#2", 2, 2))
+    runner.on_pull(state.Holdings("t#1", 0, 0))
+    assert 0 not in _planned_steps(runner)
