Notice members that die; forget what has ended

Cause: found by reading. A daemon that detected a death itself did not look again at who watches the platform and how limits are split; only news from others led to that. Strikes, quarantines, signs of leaving and load figures of upstreams that are gone were never dropped.

Change: listeners hear of every change of the membership, found here or told; old matters are dropped each minute; wording of the gossip's names.

The test also passes with the old listeners, where the two rest daemons tell each other; it proves the behaviour, not this change.

Conclusion: state of a daemon is bounded by what exists.

--- a/poplarloft/coordination/dissemination.py
+++ b/poplarloft/coordination/dissemination.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     per_message : int
-        Rumours that ride on one message at most.
+        Rumours on one message at most.
     repeat_factor : float
         Times the logarithm of the fleet's size that a rumour is sent.
     buckets : int
--- a/poplarloft/coordination/membership.py
+++ b/poplarloft/coordination/membership.py
@@ -57,6 +57,7 @@
         self.suspected_at_ms: dict[str, int] = {}
         self.dead_at_ms: dict[str, int] = {}
         self.health = 0
+        self.changes = 0
         self.round = 0
         self.order: list[str] = []
         self.news = relaying.NewsQueues(rng)
@@ -101,7 +102,7 @@
 
     def tick(self) -> list[gossip.MembershipAction]:
         """Probe, give up probes, end suspicions."""
-        self._forgive_own_pause()
+        self._allow_for_own_pause()
         actions = self._check_probes()
         actions += self._end_suspicions()
         if self.clock.now_ms() >= self.next_probe_ms:
@@ -128,10 +129,10 @@
         self, sender: str, sequence: int, on_behalf_of: str
     ) -> list[gossip.MembershipAction]:
         """Answer a probe."""
-        riders = self._riders(sender)
+        piggybacked = self._piggyback(sender)
         return [
             gossip.SendAck(
-                sender, sequence, on_behalf_of, self.me.name, riders
+                sender, sequence, on_behalf_of, self.me.name, piggybacked
             )
         ]
 
@@ -142,7 +143,7 @@
         if target not in self.members:
             return []
         return [
-            gossip.SendPing(target, sequence, sender, self._riders(target))
+            gossip.SendPing(target, sequence, sender, self._piggyback(target))
         ]
 
     def on_ack(
@@ -156,7 +157,7 @@
                     sequence,
                     on_behalf_of,
                     target,
-                    self._riders(),
+                    self._piggyback(),
                 )
             ]
         if self.probes.answer(sequence):
@@ -188,6 +189,7 @@
         if known is not None and known.order >= record.order:
             return False
         self.members[record.name] = record
+        self.changes += 1
         self._keep(record)
         self._note_status(record)
         return True
@@ -237,7 +239,7 @@
         record = dataclasses.replace(self.members[name], status=status)
         self._on_record(record)
 
-    def _forgive_own_pause(self) -> None:
+    def _allow_for_own_pause(self) -> None:
         """Shift all waiting times by the time this member was paused."""
         now_ms = self.clock.now_ms()
         gap_ms = now_ms - self.ticked_at_ms
@@ -283,9 +285,11 @@
         chosen = self.rng.sample(
             helpers, min(self.settings.indirect, len(helpers))
         )
-        riders = self._riders(probe.target)
+        piggybacked = self._piggyback(probe.target)
         return [
-            gossip.SendPingRequest(name, probe.target, probe.sequence, riders)
+            gossip.SendPingRequest(
+                name, probe.target, probe.sequence, piggybacked
+            )
             for name in chosen
         ]
 
@@ -319,11 +323,11 @@
                 digest = self.store.digest()
                 actions.append(gossip.SendDigest(target, digest))
         actions += self._talk_to_other_data_centres()
-        actions += self._try_a_dead_neighbour()
+        actions += self._contact_dead_neighbour()
         return actions
 
-    def _try_a_dead_neighbour(self) -> list[gossip.MembershipAction]:
-        """Now and then greet a dead member, which may only be cut off."""
+    def _contact_dead_neighbour(self) -> list[gossip.MembershipAction]:
+        """Contact a dead member now and then, which may only be cut off."""
         if self.round % self.settings.digest_every:
             return []
         dead = [
@@ -340,7 +344,7 @@
     def _probe(self, target: str, is_last: bool = False) -> gossip.SendPing:
         probe = self.probes.begin(target, is_last)
         return gossip.SendPing(
-            target, probe.sequence, "", self._riders(target)
+            target, probe.sequence, "", self._piggyback(target)
         )
 
     def _next_target(self) -> str | None:
@@ -364,7 +368,7 @@
     def _is_neighbour(self, record: state.MemberRecord) -> bool:
         return record.place.data_centre == self.me.place.data_centre
 
-    def _riders(self, target: str = "") -> tuple[state.Rumour, ...]:
+    def _piggyback(self, target: str = "") -> tuple[state.Rumour, ...]:
         """Return rumours for a message, a suspicion of its target first."""
         rumours = self.store.select(len(self.members))
         record = self.members.get(target)
@@ -421,4 +425,5 @@
             if since_ms < oldest_ms:
                 del self.dead_at_ms[name]
                 del self.members[name]
+                self.changes += 1
                 self.store.drop(("member", name))
--- a/poplarloft/coordination/poison.py
+++ b/poplarloft/coordination/poison.py
@@ -208,7 +208,23 @@
         return rumour
 
     def forget_old(self) -> list[tuple[str, str]]:
-        """Drop strikes past their time; return their rumours' keys."""
+        """Drop strikes and quarantines past their time.
+
+        Returns
+        -------
+        list of tuple of str
+            The keys of their rumours.
+        """
+        dropped = self._forget_strikes()
+        now_ms = self.wall_clock.now_ms()
+        for fingerprint, quarantine in list(self.quarantined.items()):
+            if quarantine.until_ms + self.settings.memory_ms < now_ms:
+                del self.quarantined[fingerprint]
+                dropped.append(quarantine.key)
+        self.resets = {p: s for p, s in self.resets.items() if s}
+        return dropped
+
+    def _forget_strikes(self) -> list[tuple[str, str]]:
         oldest_ms = self.clock.now_ms() - self.settings.memory_ms
         dropped = []
         for fingerprint, witnesses in list(self.strikes.items()):
@@ -218,7 +234,7 @@
                     dropped.append(("strike", f"{fingerprint}/{witness}"))
             if not witnesses:
                 del self.strikes[fingerprint]
-        self.resets = {p: s for p, s in self.resets.items() if s}
+                dropped.append(("absolved", fingerprint))
         return dropped
 
     def _strike(self, fingerprint: str, alone: bool) -> list[state.Rumour]:
--- a/poplarloft/coordination/routing.py
+++ b/poplarloft/coordination/routing.py
@@ -390,11 +390,11 @@
             upstream, report.queued_tokens + since, price_ms, cached
         )
 
-    def forget(self, upstream: str) -> None:
-        """Drop all that is known of an upstream that is gone."""
-        self.reports.pop(upstream, None)
-        self.own.pop(upstream, None)
-        self.warmed.pop(upstream, None)
+    def keep_only(self, upstreams: abc.Collection[str]) -> None:
+        """Drop all that is known of upstreams that are gone."""
+        for known in (self.reports, self.own, self.warmed):
+            for name in [name for name in known if name not in upstreams]:
+                del known[name]
 
     def _warm(self, upstream: str, now_ms: int) -> frozenset[int]:
         """Return blocks sent lately; older ones may be evicted."""
--- a/poplarloft/coordination/tests/test_requests.py
+++ b/poplarloft/coordination/tests/test_requests.py
@@ -297,3 +297,17 @@
     request = coordination.RouteRequest(prefix=(7,))
     shortlist = coordination.Shortlist(random.Random(1))
     assert shortlist.choose(request, names) == names
+
+
+def test_old_strikes_and_quarantines_are_forgotten():
+    guard, clock = _guard()
+    _crash(guard, "e1", "f1", "f2")
+    _crash(guard, "e2", "f1")
+    _crash(guard, "e3", "f1")
+    clock.advance(guard.settings.memory_ms + 1)
+    dropped = guard.forget_old()
+    assert ("strike", "f2/entry-1") in dropped
+    assert guard.strikes == {}
+    clock.advance(guard.settings.quarantine_ms)
+    assert guard.forget_old() == [("quarantine", "f1")]
+    assert guard.quarantined == {}
--- a/poplarloft/daemon/exchange.py
+++ b/poplarloft/daemon/exchange.py
@@ -1,5 +1,7 @@
 """What the parts of one daemon learn from, and tell, other daemons."""
 
+import asyncio
+
 from poplarloft import coordination
 from poplarloft.daemon import configuration
 from poplarloft.daemon import fleet
@@ -11,6 +13,8 @@
 __all__ = ["Exchange"]
 
 ASK_AGAIN_MS = 300
+FORGET_EVERY_MS = 60_000
+MS_PER_S = 1_000
 
 
 class Exchange:
@@ -57,6 +61,23 @@
         configuration_service.listeners.append(self._on_head)
         upstream_service.sign_listeners.append(self._on_sign)
 
+    async def run(self) -> None:
+        """Forget now and then what no longer matters, until cancelled."""
+        while True:
+            await asyncio.sleep(FORGET_EVERY_MS / MS_PER_S)
+            self.forget_old()
+
+    def forget_old(self) -> None:
+        """Drop rumours and figures whose matter has ended."""
+        store = self.fleet.membership.store
+        for key in self.guard.forget_old():
+            store.drop(key)
+        known = self.upstreams.registry.known
+        for rumour in list(store.of_topic("leaving")):
+            if rumour.key[1] not in known:
+                store.drop(rumour.key)
+        self.upstreams.load.keep_only(known)
+
     def _on_head(self, head: state.Configuration) -> None:
         self.fleet.spread(state.HeadRumour(head.revision, self.fleet.name))
         self._set_limits()
--- a/poplarloft/daemon/fleet.py
+++ b/poplarloft/daemon/fleet.py
@@ -53,6 +53,7 @@
         self.handlers: dict[type, MessageHandler] = {}
         self.timer = tasks.WakeTimer(self._on_wake)
         self.stopped = False
+        self.noticed_changes = 0
 
     @property
     def name(self) -> str:
@@ -101,19 +102,20 @@
         return True
 
     async def _join(self) -> None:
-        """Greet the seeds until some other member is known."""
+        """Contact the seeds until some other member is known."""
         while len(self.membership.live()) < 2 and self.seeds:
-            hello = coordination.SendRumours("", (self.membership.me,))
+            introduction = coordination.SendRumours("", (self.membership.me,))
             digest = coordination.SendDigest(
                 "", self.membership.store.digest()
             )
             for seed in self.seeds:
-                self._send_to(seed, hello)
+                self._send_to(seed, introduction)
                 self._send_to(seed, digest)
             await asyncio.sleep(JOIN_RETRY_MS / MS_PER_S)
 
     def _on_wake(self) -> None:
         self._perform(self.membership.tick())
+        self._notice_members()
         wake_ms = self.membership.next_wake_ms()
         self.timer.set(wake_ms - self.membership.clock.now_ms())
 
@@ -125,6 +127,15 @@
             eliot.log_message("peer-message-unreadable", error=str(error))
             return
         self._take(envelope.sender, envelope.message)
+        self._notice_members()
+
+    def _notice_members(self) -> None:
+        """Tell listeners of any change, learnt or found out here."""
+        if self.membership.changes == self.noticed_changes:
+            return
+        self.noticed_changes = self.membership.changes
+        for listener in self.member_listeners:
+            listener()
 
     def _take(self, sender: str, message: messages.PeerMessage) -> None:
         membership = self.membership
@@ -162,8 +173,6 @@
                 incarnation=rumour.incarnation,
                 status=rumour.status.name.lower(),
             )
-            for member_listener in self.member_listeners:
-                member_listener()
         for listener in self.rumour_listeners:
             listener(rumour)
 
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -137,6 +137,7 @@
         self.task_set.spawn(self.upstreams.run())
         self.task_set.spawn(self.weights.run())
         self.task_set.spawn(self.usage.run())
+        self.task_set.spawn(self.exchange.run())
         eliot.log_message(
             "started",
             incarnation=str(self.incarnation),
--- a/poplarloft/daemon/usage.py
+++ b/poplarloft/daemon/usage.py
@@ -69,6 +69,17 @@
             if now_ms - flushed_ms >= self.flush_ms and self._is_writer():
                 flushed_ms = now_ms
                 await self.flush()
+                self._forget_gone()
+
+    def _forget_gone(self) -> None:
+        """Drop what is booked in full of instances that are gone."""
+        if self.fleet is None:
+            return
+        live = {
+            str(state.Incarnation(m.name, m.incarnation))
+            for m in self.fleet.membership.live()
+        }
+        self.book.forget(self.booked, live)
 
     def tell(self) -> None:
         """Put this instance's counters into the gossip."""
--- a/poplarloft/protocol/peers.py
+++ b/poplarloft/protocol/peers.py
@@ -183,8 +183,8 @@
         case coordination.SendPing(_, sequence, behalf, rumours):
             return _Ping(sequence, behalf, _rumours_to_wire(rumours))
         case coordination.SendAck(_, sequence, behalf, target, rumours):
-            riders = _rumours_to_wire(rumours)
-            return _Ack(sequence, behalf, target, riders)
+            piggybacked = _rumours_to_wire(rumours)
+            return _Ack(sequence, behalf, target, piggybacked)
         case coordination.SendPingRequest(_, target, sequence, rumours):
             return _PingRequest(target, sequence, _rumours_to_wire(rumours))
         case coordination.SendDigest(_, digest, is_answer):
@@ -207,14 +207,18 @@
 def _from_wire(body: _Body) -> PeerMessage:
     match body:
         case _Ping(sequence, behalf, rumours):
-            riders = _rumours_from_wire(rumours)
-            return coordination.SendPing("", sequence, behalf, riders)
+            piggybacked = _rumours_from_wire(rumours)
+            return coordination.SendPing("", sequence, behalf, piggybacked)
         case _Ack(sequence, behalf, target, rumours):
-            riders = _rumours_from_wire(rumours)
-            return coordination.SendAck("", sequence, behalf, target, riders)
+            piggybacked = _rumours_from_wire(rumours)
+            return coordination.SendAck(
+                "", sequence, behalf, target, piggybacked
+            )
         case _PingRequest(target, sequence, rumours):
-            riders = _rumours_from_wire(rumours)
-            return coordination.SendPingRequest("", target, sequence, riders)
+            piggybacked = _rumours_from_wire(rumours)
+            return coordination.SendPingRequest(
+                "", target, sequence, piggybacked
+            )
         case _Digest(digest, is_answer):
             return coordination.SendDigest("", tuple(digest), is_answer)
         case _Rumours(rumours):
--- a/poplarloft/protocol/tests/test_peers.py
+++ b/poplarloft/protocol/tests/test_peers.py
@@ -42,15 +42,17 @@
         ),
     ),
 )
-riders = strategies.lists(rumours, max_size=3).map(tuple)
+piggybacked = strategies.lists(rumours, max_size=3).map(tuple)
 empty = strategies.just("")
 messages = strategies.one_of(
-    strategies.builds(coordination.SendPing, empty, numbers, names, riders),
     strategies.builds(
-        coordination.SendAck, empty, numbers, names, names, riders
+        coordination.SendPing, empty, numbers, names, piggybacked
     ),
     strategies.builds(
-        coordination.SendPingRequest, empty, names, numbers, riders
+        coordination.SendAck, empty, numbers, names, names, piggybacked
+    ),
+    strategies.builds(
+        coordination.SendPingRequest, empty, names, numbers, piggybacked
     ),
     strategies.builds(
         coordination.SendDigest,
@@ -58,7 +60,7 @@
         strategies.lists(numbers, max_size=4).map(tuple),
         strategies.booleans(),
     ),
-    strategies.builds(coordination.SendRumours, empty, riders),
+    strategies.builds(coordination.SendRumours, empty, piggybacked),
     strategies.builds(
         state.ClaimRequest,
         strategies.builds(state.ClaimKey, strategies.binary(), numbers),
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from poplarloft import coordination
 from poplarloft.protocol import documents
 from poplarloft.protocol import usage
+from poplarloft import state
 from standins import caller
 from standins import platform
 from standins import proxy
@@ -113,6 +115,40 @@
     await until_revision(client, [late], revision, 8.0)
 
 
+async def test_another_instance_watches_when_the_watchers_die(cluster, client):
+    await cluster.put_in_force(client)
+    daemons = start_fleet(cluster, 4)
+    for daemon in daemons:
+        await processes.until(client, daemon.address, "/readyz")
+    await asyncio.sleep(1.0)
+    names = [f"entry-{n}" for n in range(4)]
+    ranked = coordination.rendezvous_rank("norte-a", names)
+    left = []
+    for name, daemon in zip(names, daemons, strict=True):
+        if name in ranked[:2]:
+            daemon.kill()
+        else:
+            left.append(daemon)
+    await write_head(client, cluster, revision=5, expected_version=1)
+    await until_revision(client, left, 5, 8.0)
+
+
+async def write_head(client, cluster, revision, expected_version):
+    """Put a revision into the platform, past the daemons."""
+    owners = [platform.owner_document(o) for o in platform.OWNERS]
+    head = state.Configuration(revision, tuple(owners))
+    sent = await client.send(
+        cluster.key_value.address,
+        "PUT",
+        f"/v1/keys/{documents.HEAD_KEY}",
+        [("if-match", str(expected_version))],
+        documents.encode_head(head),
+    )
+    answer = sent.unwrap()
+    await answer.read()
+    assert answer.status == 200
+
+
 async def test_usage_is_booked_once_through_a_crash(cluster, client):
     work_ms, workers = 20, 4
     plain = cluster.start_upstream(
