--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
     "claims",
     "idle",
     "membership",
+    "mutants",
     "poison",
     "relay",
     "routing",
--- a/poplarloft/coordination/tests/test_claims.py
+++ b/poplarloft/coordination/tests/test_claims.py
@@ -272,5 +272,19 @@
     assert write.ledger.claims == {key.digest: state.Claim(2, "a")}
 
 
+def test_claim_that_lost_the_race_is_held_by_the_winner():
+    clock = state.ManualClock(1_000_000)
+    book = _book(clock)
+    key = _key(0, clock)
+    (read,) = book.request(key, state.Claim(1, "a"), 1_000)
+    (write,) = book.on_read(read.ledger_id, (state.Ledger(window=-1), 0))
+    conflict = state.WriteResult(state.WriteOutcome.CONFLICT)
+    (read,) = book.on_write(write.ledger_id, write.ledger, conflict)
+    won = state.Ledger(write.ledger.window, {key.digest: state.Claim(2, "b")})
+    (decided,) = book.on_read(read.ledger_id, (won, 1))
+    held = coordination.ClaimDecision.HELD
+    assert decided == coordination.ClaimDecided(1, held, "b")
+
+
 def test_module_lists_its_public_names():
     assert set(claims.__all__) <= set(coordination.__all__)
