Let the demo serve both owners, engines lag

Cause: the demo's calls were one owner's; the engine stand-in reported its load without a lag, and lots and requests had no slopes of their own.

Change: two routes and 150 calls for each owner; a lag of the load report and an order to fail swaps; slopes for lots and for requests in flight.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -26,6 +26,8 @@
 MEMBERS = (42, 120, 420)
 CLAIMS = (500, 2_500, 10_000)
 SLOTS = (128, 512, 1_024)
+LOTS = (1, 7, 28)
+REQUESTS = (10, 100, 1_000)
 DOCUMENTS = (10, 100, 500)
 REPEATS = 20
 MICROSECONDS_PER_S = 1_000_000
@@ -38,6 +40,8 @@
         ("members", _measure_members, MEMBERS),
         ("claims", _measure_claims, CLAIMS),
         ("slots", _measure_slots, SLOTS),
+        ("lots", _measure_lots, LOTS),
+        ("requests in flight", _measure_requests, REQUESTS),
         ("documents", _measure_documents, DOCUMENTS),
     ]
     rows = []
@@ -229,6 +233,60 @@
     }
 
 
+def _measure_lots(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    clock = state.ManualClock(10_000)
+    lot = state.LotBody("pool", "m", "s", ("p",), 16, 8, 100, 2)
+
+    def build() -> list[coordination.LotRunner]:
+        runners = []
+        for number in range(size):
+            runner = coordination.LotRunner(
+                clock, f"lot-{number}", lot, coordination.NoRedispatch()
+            )
+            runner.on_pull(state.Holdings("t#1", 0, 0))
+            runner.plan(128)
+            runners.append(runner)
+        return runners
+
+    runners, kept = _bytes_of(build)
+    return {
+        "bytes_each": round(kept / size),
+        "plan_all_us": _microseconds(lambda: [r.plan(0) for r in runners]),
+    }
+
+
+def _measure_requests(rng: random.Random, size: int) -> dict[str, typing.Any]:
+    clock = state.ManualClock(10_000)
+    cost = coordination.CostEstimate()
+    request = coordination.RouteRequest(tuple(range(16)), 256)
+    parts = (
+        coordination.Admission(
+            clock, coordination.AdmissionSettings(max_concurrent=size + 1)
+        ),
+        coordination.PoisonGuard(clock, clock, "entry-1#1"),
+        coordination.LoadView(clock),
+    )
+
+    def begin() -> tuple[int, int, int]:
+        admission, guard, view = parts
+        ticket, _ = admission.request("o", "live", cost, 60_000)
+        place = guard.on_dispatch("engine-1", 1, "f" * 32)
+        return ticket, place, view.on_dispatch("engine-1", request)
+
+    def begin_and_end() -> None:
+        admission, guard, view = parts
+        ticket, place, load = begin()
+        admission.done(ticket)
+        guard.on_done("engine-1", 1, place)
+        view.on_done("engine-1", load)
+
+    _, kept = _bytes_of(lambda: [begin() for _ in range(size)])
+    return {
+        "bytes_each": round(kept / size),
+        "begin_and_end_us": _microseconds(begin_and_end),
+    }
+
+
 def _measure_documents(rng: random.Random, size: int) -> dict[str, typing.Any]:
     parts = tuple(
         state.Document(
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,6 +1,7 @@
 """The main job on embedded stand-ins, with faults on the way."""
 
 import asyncio
+import collections
 from collections import abc
 import dataclasses
 import pathlib
@@ -22,8 +23,10 @@
 GROUPS = 8
 SAMPLES_PER_GROUP = 8
 STALENESS_BOUND = 1
-LIVE_CALLS = 300
-CALLS_AT_A_TIME = 12
+CALLS_PER_OWNER = 150
+REPEATABLE_ROUTE = "find"
+KEYED_ROUTE = "book"
+CALLS_AT_A_TIME = 6
 STEP_TIMEOUT_MS = 20_000
 TRAIN_MS = 500
 OUTAGE_MS = 1_200
@@ -87,28 +90,33 @@
     second = await small.start_node("entry-2", platform.PLACES[1])
     await asyncio.sleep(WARM_UP_MS / MS_PER_S)
     progress(f"2 daemons at {first.address} and {second.address}")
-    for document in (_route("find", True), _route("sync", False), _lot()):
-        await _agree(first, document)
-    progress("2 routes and 1 lot proposed, accepted and in force")
+    for owner in platform.OWNERS:
+        await _agree(first, _route(owner, REPEATABLE_ROUTE, True))
+        await _agree(first, _route(owner, KEYED_ROUTE, False))
+    await _agree(first, _lot())
+    progress("4 routes and 1 lot proposed, accepted and in force")
     callers = [
         caller.Caller([_address(first), _address(second)], _token(owner))
-        for owner in platform.OWNERS[:1]
+        for owner in platform.OWNERS
     ]
     job = _trainer(small, [first, second])
     async with asyncio.TaskGroup() as group:
         group.create_task(job.run(STEPS, STEP_TIMEOUT_MS))
-        group.create_task(_call_all(callers[0], progress))
+        for owner, live in zip(platform.OWNERS, callers, strict=True):
+            group.create_task(_call_all(owner, live, progress))
         group.create_task(_cause_faults(small, second, callers, progress))
-    callers[0].close()
+    for live in callers:
+        live.close()
     job.client.close()
     progress("both steps delivered, all calls answered")
-    return _report(small, callers[0].record, job.record)
+    return _report(small, [c.record for c in callers], job.record)
 
 
 async def _agree(first: node_module.Node, document: state.Document) -> None:
     """Propose a document for one owner and accept it for the other."""
     service = first.configuration
     proposal_id = f"demo-{document.name}"
+    other = next(o for o in platform.OWNERS if o != document.owner)
     closes_at_ms = first.wall_clock.now_ms() + STEP_TIMEOUT_MS
     await service.change(
         lambda head: coordination.propose(
@@ -116,22 +124,27 @@
         )
     )
     await service.change(
-        lambda head: coordination.accept(head, proposal_id, platform.OWNERS[1])
+        lambda head: coordination.accept(head, proposal_id, other)
     )
 
 
-async def _call_all(live: caller.Caller, progress: Progress) -> None:
-    """Send the live calls, a few at a time, half of them keyed."""
-    waiting = list(range(LIVE_CALLS))
+async def _call_all(
+    owner: str, live: caller.Caller, progress: Progress
+) -> None:
+    """Send an owner's live calls, a few at a time, half of them keyed."""
+    waiting = list(range(CALLS_PER_OWNER))
 
     async def worker() -> None:
         while waiting:
             number = waiting.pop()
             if number % 100 == 0:
-                progress(f"{LIVE_CALLS - number} live calls sent")
+                sent = CALLS_PER_OWNER - number
+                progress(f"{sent} live calls of {owner} sent")
             keyed = number % 2 == 0
-            route = "sync" if keyed else "find"
-            await live.call(route, f"{route}-{number}", keyed, tries=20)
+            kind = KEYED_ROUTE if keyed else REPEATABLE_ROUTE
+            await live.call(
+                f"{owner}-{kind}", f"{kind}-{owner}-{number}", keyed, tries=20
+            )
             await asyncio.sleep(0.05)
 
     async with asyncio.TaskGroup() as group:
@@ -176,10 +189,10 @@
     )
 
 
-def _route(name: str, repeatable: bool) -> state.Document:
+def _route(owner: str, kind: str, repeatable: bool) -> state.Document:
     body = state.RouteBody("directorio-app", repeatable, timeout_ms=5_000)
     return state.Document(
-        state.DocumentKind.ROUTE, platform.OWNERS[0], name, body
+        state.DocumentKind.ROUTE, owner, f"{owner}-{kind}", body
     )
 
 
@@ -211,16 +224,18 @@
 
 def _report(
     small: platform.SmallPlatform,
-    live: caller.CallerRecord,
+    records: list[caller.CallerRecord],
     trained: trainer.TrainerRecord,
 ) -> DemoReport:
     runs: dict[str, int] = {}
     for plain in small.plains:
         for key, count in plain.runs.items():
             runs[key] = runs.get(key, 0) + count
+    outcomes = {k: o for r in records for k, o in r.outcomes.items()}
+    counts = collections.Counter(outcomes.values())
     not_run = [
         key
-        for key, outcome in live.outcomes.items()
+        for key, outcome in outcomes.items()
         if outcome is caller.CallOutcome.NOT_RUN
     ]
     return DemoReport(
@@ -229,13 +244,14 @@
         samples_duplicate=trained.duplicate,
         samples_mislabelled=trained.mislabelled,
         samples_stale=trained.stale,
-        requests_sent=live.sent,
-        answers_whole=live.count(caller.CallOutcome.WHOLE),
-        answers_cut=live.count(caller.CallOutcome.CUT)
-        + live.count(caller.CallOutcome.NO_ANSWER),
-        answers_wrong=live.wrong_answers,
+        requests_sent=sum(record.sent for record in records),
+        answers_whole=counts[caller.CallOutcome.WHOLE],
+        answers_cut=counts[caller.CallOutcome.CUT]
+        + counts[caller.CallOutcome.NO_ANSWER],
+        answers_wrong=sum(record.wrong_answers for record in records),
         nonrepeatable_run_twice=sum(
-            key.startswith("sync") and count > 1 for key, count in runs.items()
+            key.startswith(KEYED_ROUTE) and count > 1
+            for key, count in runs.items()
         ),
         refused_not_run=len(not_run),
         refused_but_ran=sum(runs.get(key, 0) > 0 for key in not_run),
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -82,6 +82,8 @@
         Spread of the log-normal lengths.
     weight_store : state.Address or None
         Where versions are read from; None preloads by time alone.
+    load_lag_ms : int
+        How old the reported load is.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         max_streams: int = 16,
         sigma: float = 0.5,
         weight_store: state.Address | None = None,
+        load_lag_ms: int = 0,
     ) -> None:
         super().__init__(rng)
         self.upstream = upstream
@@ -102,6 +105,8 @@
         self.max_streams = max_streams
         self.sigma = sigma
         self.weight_store = weight_store
+        self.load_lag_ms = load_lag_ms
+        self.reports: list[tuple[int, engine.EngineState]] = []
         self.client = http_client.HttpClient()
         self.clock = state.MonotonicClock()
         self.slots = asyncio.Semaphore(max_streams)
@@ -136,6 +141,7 @@
         )
         self.slots = asyncio.Semaphore(self.max_streams)
         self.running = self.owed_tokens = 0
+        self.reports.clear()
         self.cache.clear()
         self.preloaded = {self.loaded_version}
         self.weight_version = self.loaded_version
@@ -148,10 +154,13 @@
             case "POST", "/v1/completions":
                 return self._complete(request)
             case "GET", "/v1/state":
-                return serving.json_answer(self._state())
+                return serving.json_answer(self._lagged_state())
             case "POST", "/v1/orders":
                 order = serving.decode(request.body, engine.WeightOrder)
                 return serving.json_answer(await self._obey(order))
+            case "POST", "/control/fail-swaps":
+                self.fail_next_swaps = int(request.body)
+                return serving.json_answer({})
             case "POST", "/control/crash":
                 asyncio.get_running_loop().create_task(self.crash())
                 return serving.json_answer({})
@@ -233,6 +242,15 @@
         )
         return msgspec.json.encode(line) + b"\n"
 
+    def _lagged_state(self) -> engine.EngineState:
+        """Return the newest report that is at least as old as the lag."""
+        now_ms = self.clock.now_ms()
+        self.reports.append((now_ms, self._state()))
+        old = [r for r in self.reports if now_ms - r[0] >= self.load_lag_ms]
+        taken_ms, report = old[-1] if old else self.reports[0]
+        self.reports = [r for r in self.reports if r[0] >= taken_ms]
+        return msgspec.structs.replace(report, age_ms=now_ms - taken_ms)
+
     def _state(self) -> engine.EngineState:
         return engine.EngineState(
             engine=self.identity,
