--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -50,6 +50,7 @@
 from poplarloft.coordination.histograms import HistogramSummary
 from poplarloft.coordination.labels import LabelFault
 from poplarloft.coordination.labels import Labeller
+from poplarloft.coordination.load import LoadView
 from poplarloft.coordination.lots import CancelSample
 from poplarloft.coordination.lots import GenerateSample
 from poplarloft.coordination.lots import LotAction
@@ -76,7 +77,6 @@
 from poplarloft.coordination.routing import Candidate
 from poplarloft.coordination.routing import CHARS_PER_TOKEN
 from poplarloft.coordination.routing import LeastLoaded
-from poplarloft.coordination.routing import LoadView
 from poplarloft.coordination.routing import prefix_blocks
 from poplarloft.coordination.routing import Prices
 from poplarloft.coordination.routing import RandomChoice
