Heed quarantine when a stream is resumed

Cause: found by reading. The rest of a broken stream went to any engine of its version, without asking whether its request was a suspect or had just been quarantined, so one more engine could crash.

Change: the rest is placed by the same rules as an attempt, and not sent at all under quarantine.

Conclusion: resuming obeys the guard.

--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -205,17 +205,14 @@
         weight_version: int | None,
     ) -> Attempt:
         """Send a broken stream's rest to an engine of its version."""
-        reports = self.upstreams.load.reports
+        standing = self.guard.standing(call.fingerprint)
         candidates = [
             candidate
-            for candidate in self.upstreams.candidates(
-                call.route.service, excluded, call.route_request
-            )
-            if weight_version is None
-            or candidate.name in reports
-            and reports[candidate.name].weight_version == weight_version
+            for candidate in self._candidates(call, standing, excluded)
+            if self._serves(candidate.name, weight_version)
         ]
-        if not candidates:
+        quarantined = standing is coordination.Standing.QUARANTINED
+        if quarantined or not candidates:
             return result.Failure(
                 coordination.Failure(
                     "", coordination.FailureKind.HALF_ANSWER, "no engine"
@@ -236,6 +233,13 @@
         finish()
         return outcome
 
+    def _serves(self, name: str, weight_version: int | None) -> bool:
+        """Tell whether an engine last reported a weight version."""
+        report = self.upstreams.load.reports.get(name)
+        if weight_version is None:
+            return True
+        return report is not None and report.weight_version == weight_version
+
     def _absolve(
         self, call: calls.RelayCall, response: http.HttpResponse
     ) -> None:
--- a/poplarloft/daemon/tests/test_upstream_failures.py
+++ b/poplarloft/daemon/tests/test_upstream_failures.py
@@ -90,6 +90,20 @@
     client.close()
 
 
+async def test_a_streamed_poison_request_is_not_resumed_for_ever(small):
+    client = http_client.HttpClient()
+    for number in range(6):
+        await ask(
+            client,
+            small.nodes[number % DAEMONS],
+            "/r/stream/v1/completions",
+            f"please {engine.POISON}",
+            4_000,
+        )
+    assert 0 < sum(e.crashes for e in small.engines) <= 3
+    client.close()
+
+
 async def test_a_client_can_tell_a_cut_stream_from_a_whole_one(small):
     """Every answer at a thousand streams is whole, byte for byte, or cut."""
     client = http_client.HttpClient(connect_timeout_ms=20_000)
