--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -34,7 +34,6 @@
 from poplarloft.state.peers import ClaimRequest
 from poplarloft.state.peers import HeadAnswer
 from poplarloft.state.peers import HeadRequest
-from poplarloft.state.ports import InstanceList
 from poplarloft.state.ports import KeyValueStore
 from poplarloft.state.ports import Metrics
 from poplarloft.state.rumours import AbsolvedRumour
@@ -80,7 +79,6 @@
     "HeadRumour",
     "Holdings",
     "Incarnation",
-    "InstanceList",
     "KeyValueStore",
     "Lease",
     "LeavingRumour",
--- a/poplarloft/state/ports.py
+++ b/poplarloft/state/ports.py
@@ -6,10 +6,9 @@
 from returns import result
 
 from poplarloft.state import document
-from poplarloft.state import upstream
 from poplarloft.state import verdict
 
-__all__ = ["InstanceList", "KeyValueStore", "Metrics"]
+__all__ = ["KeyValueStore", "Metrics"]
 
 
 class KeyValueStore(typing.Protocol):
@@ -36,15 +35,6 @@
         """Yield each value of `key` that is newer than `after_version`."""
 
 
-class InstanceList(typing.Protocol):
-    """The platform's lagging list of live and leaving instances."""
-
-    async def fetch(
-        self,
-    ) -> result.Result[tuple[upstream.Upstream, ...], verdict.Refusal]:
-        """Return all listed upstreams."""
-
-
 class Metrics(typing.Protocol):
     """Counters and timers."""
 
