--- /dev/null
+++ b/poplarloft/coordination/serving/__init__.py
@@ -0,0 +1,38 @@
+"""Decisions for serving behind a platform's balancer and store.
+
+Requests, lots of samples and weights, without input or output.
+"""
+
+from poplarloft.coordination.serving.balancing import Balancer
+from poplarloft.coordination.serving.balancing import ExpectedTime
+from poplarloft.coordination.serving.logbook import AdoptBatch
+from poplarloft.coordination.serving.logbook import Logbook
+from poplarloft.coordination.serving.logbook import WriteBatch
+from poplarloft.coordination.serving.orders import LoadPlanner
+from poplarloft.coordination.serving.orders import LoadVersion
+from poplarloft.coordination.serving.planning import EngineView
+from poplarloft.coordination.serving.planning import LotPlan
+from poplarloft.coordination.serving.planning import Planner
+from poplarloft.coordination.serving.planning import StartItem
+from poplarloft.coordination.serving.registry import SamplerRegistry
+from poplarloft.coordination.serving.texts import BrokenOrder
+from poplarloft.coordination.serving.texts import ItemText
+from poplarloft.coordination.serving.texts import Stage
+
+__all__ = [
+    "AdoptBatch",
+    "Balancer",
+    "BrokenOrder",
+    "EngineView",
+    "ExpectedTime",
+    "ItemText",
+    "LoadPlanner",
+    "LoadVersion",
+    "Logbook",
+    "LotPlan",
+    "Planner",
+    "SamplerRegistry",
+    "Stage",
+    "StartItem",
+    "WriteBatch",
+]
--- /dev/null
+++ b/poplarloft/coordination/serving/planning.py
@@ -0,0 +1,261 @@
+"""Which item of which lot runs next, and on which engine."""
+
+from collections import abc
+import dataclasses
+
+from poplarloft.coordination.serving import texts
+from poplarloft import state
+
+__all__ = ["EngineView", "LotPlan", "Planner", "StartItem"]
+
+FIRST_PACE_MS = 50.0
+PACE_SMOOTHING = 0.1
+STEP_TARGET_MS = 4_000
+FAILED_ENGINE_MS = 2_000
+SLOW_FACTOR = 1.6
+REGION_COST_MS = 60.0
+Life = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartItem:
+    """Action: run an item's text on an engine, from where it stands."""
+
+    lot_id: str
+    item_id: str
+    sampler: state.Sampler
+
+
+@dataclasses.dataclass(slots=True)
+class EngineView:
+    """What the runner knows of one start of an engine.
+
+    Parameters
+    ----------
+    sampler : state.Sampler
+        Its newest announcement.
+    versions : dict of str to int
+        Weight versions, from what it showed last.
+    loading : set of str
+        Models whose weights it is loading; it starts none of their items.
+    pace_ms : float
+        Time between two events of a text.
+    """
+
+    sampler: state.Sampler
+    versions: dict[str, int]
+    loading: set[str] = dataclasses.field(default_factory=set)
+    running: set[str] = dataclasses.field(default_factory=set)
+    pace_ms: float = FIRST_PACE_MS
+    has_pace: bool = False
+    failed_at_ms: int = -FAILED_ENGINE_MS
+
+    def has_room(self) -> bool:
+        """Tell whether a slot is free."""
+        return len(self.running) < self.sampler.slots
+
+    def on_event(self, gap_ms: float) -> None:
+        """Note the time between two events."""
+        if not self.has_pace:
+            self.pace_ms, self.has_pace = gap_ms, True
+        self.pace_ms += PACE_SMOOTHING * (gap_ms - self.pace_ms)
+
+
+@dataclasses.dataclass(slots=True)
+class LotPlan:
+    """An open lot and the texts of its items."""
+
+    lot: state.Lot
+    route: state.PathRoute
+    accepted_at_ms: int
+    groups: dict[str, list[texts.ItemText]]
+    is_ended: bool = False
+
+    def needed_groups(self) -> list[list[texts.ItemText]]:
+        """Return the groups that are not finished."""
+        done = (texts.Stage.SCORED, texts.Stage.FAILED)
+        return [
+            group
+            for group in self.groups.values()
+            if any(text.stage not in done for text in group)
+        ]
+
+
+class Planner:
+    """Matches waiting items with free slots.
+
+    Items with the least slack go first: those whose predicted time
+    reaches furthest past the time at which their step should end.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    home_region_of : callable
+        Tells whether a data centre is in this instance's region.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        is_near: abc.Callable[[str], bool],
+    ) -> None:
+        self.clock = clock
+        self.is_near = is_near
+        self.lots: dict[str, LotPlan] = {}
+        self.engines: dict[Life, EngineView] = {}
+        self.kept: dict[str, texts.ItemText] = {}
+
+    def add_lot(
+        self,
+        lot: state.Lot,
+        route: state.PathRoute,
+        accepted_at_ms: int,
+        listed: abc.Container[str],
+    ) -> LotPlan:
+        """Take a lot, without the items that are listed already.
+
+        Texts kept from an ended lot go on if their versions are allowed.
+        """
+        groups: dict[str, list[texts.ItemText]] = {}
+        for item in lot.items:
+            if item.id in listed:
+                continue
+            text = self._take_kept(lot, route, item)
+            groups.setdefault(item.group, []).append(text)
+        plan = LotPlan(lot, route, accepted_at_ms, groups)
+        self.lots[lot.id] = plan
+        return plan
+
+    def end_lot(self, lot_id: str) -> list[texts.ItemText]:
+        """Forget a lot; keep and return the texts of unfinished groups."""
+        plan = self.lots.pop(lot_id, None)
+        if plan is None:
+            return []
+        plan.is_ended = True
+        kept = [text for group in plan.needed_groups() for text in group]
+        for text in kept:
+            self.kept[text.item.id] = text
+        return kept
+
+    def drop_kept(self, item_id: str) -> None:
+        """Forget a kept text that no lot asked for."""
+        self.kept.pop(item_id, None)
+
+    def see_engines(self, samplers: abc.Iterable[state.Sampler]) -> None:
+        """Take the engines that may get items now."""
+        there = {sampler.life: sampler for sampler in samplers}
+        for life in [life for life in self.engines if life not in there]:
+            if not self.engines[life].running:
+                del self.engines[life]
+        for life, sampler in there.items():
+            view = self.engines.get(life)
+            if view is None:
+                self.engines[life] = EngineView(
+                    sampler, dict(sampler.versions)
+                )
+            else:
+                view.sampler = sampler
+        self.usable = set(there)
+
+    def starts(self) -> list[StartItem]:
+        """Return the items to start now, most urgent first."""
+        now_ms = self.clock.now_ms()
+        waiting = [
+            (self._slack_ms(plan, text), plan, text)
+            for plan in self.lots.values()
+            for group in plan.groups.values()
+            for text in group
+            if text.stage is texts.Stage.WAITING
+            and text.not_before_ms <= now_ms
+        ]
+        waiting.sort(key=lambda row: row[0])
+        found = []
+        for _, plan, text in waiting:
+            view = self._best_engine(plan, text)
+            if view is None:
+                continue
+            text.stage = texts.Stage.RUNNING
+            view.running.add(text.item.id)
+            found.append(
+                StartItem(plan.lot.id, text.item.id, view.sampler)
+            )
+        return found
+
+    def should_move(self, text: texts.ItemText, view: EngineView) -> bool:
+        """Tell whether a running text would end earlier elsewhere."""
+        others = [
+            other.pace_ms
+            for life, other in self.engines.items()
+            if life in self.usable
+            and other is not view
+            and other.has_pace
+            and other.has_room()
+        ]
+        if not others or not view.has_pace:
+            return False
+        gain_ms = text.remaining_events() * (view.pace_ms - min(others))
+        is_slow = view.pace_ms > SLOW_FACTOR * min(others)
+        return is_slow and gain_ms > 2 * REGION_COST_MS
+
+    def on_engine_failure(self, view: EngineView) -> None:
+        """Note that an engine broke off or refused."""
+        view.failed_at_ms = self.clock.now_ms()
+
+    def _take_kept(
+        self, lot: state.Lot, route: state.PathRoute, item: state.LotItem
+    ) -> texts.ItemText:
+        text = self.kept.pop(item.id, None)
+        if text is None or text.stage is texts.Stage.FAILED:
+            return texts.ItemText(item, predict_events(item))
+        text.item = item
+        is_allowed = text.is_allowed(lot.min_version, route.single_version)
+        if not is_allowed and text.stage is not texts.Stage.RUNNING:
+            text.restart()
+        return text
+
+    def _slack_ms(self, plan: LotPlan, text: texts.ItemText) -> float:
+        target_ms = plan.accepted_at_ms + STEP_TARGET_MS
+        return target_ms - text.remaining_events() * FIRST_PACE_MS
+
+    def _best_engine(
+        self, plan: LotPlan, text: texts.ItemText
+    ) -> EngineView | None:
+        model = plan.lot.model
+        now_ms = self.clock.now_ms()
+        candidates = [
+            view
+            for life, view in self.engines.items()
+            if life in self.usable
+            and view.has_room()
+            and model not in view.loading
+            and view.versions.get(model, 0) >= plan.lot.min_version
+            and view.sampler.name != text.avoid
+        ]
+        return min(
+            candidates,
+            key=lambda v: self._cost_ms(v, text, now_ms),
+            default=None,
+        )
+
+    def _cost_ms(
+        self, view: EngineView, text: texts.ItemText, now_ms: int
+    ) -> float:
+        cost_ms = text.remaining_events() * view.pace_ms
+        share = len(view.running) / max(1, view.sampler.slots)
+        cost_ms *= 1 + 0.2 * share
+        if not self.is_near(view.sampler.data_centre):
+            cost_ms += REGION_COST_MS
+        if now_ms - view.failed_at_ms < FAILED_ENGINE_MS:
+            cost_ms += FAILED_ENGINE_MS
+        return cost_ms
+
+
+def predict_events(item: state.LotItem) -> float:
+    """Return the expected number of events of an item's text."""
+    limit = max(1, item.token_limit - item.prompt_tokens)
+    expected = limit if item.length_hint is None else item.length_hint
+    return max(1.0, min(limit, expected) / TOKENS_PER_EVENT)
+
+
+TOKENS_PER_EVENT = 71
--- /dev/null
+++ b/poplarloft/daemon/serving/bulk.py
@@ -0,0 +1,112 @@
+"""The duty `bulk`: runs lots, orders weights, answers retirements."""
+
+import asyncio
+import random
+
+import eliot
+
+from poplarloft.coordination import serving
+from poplarloft.daemon import tasks
+from poplarloft.daemon.serving import runner
+from poplarloft.daemon.serving import tenure
+from poplarloft.platform import documents
+from poplarloft.platform import names
+from poplarloft.platform import store as platform_store
+from poplarloft.protocol import addresses
+from poplarloft.protocol import serving_settings
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["BulkDaemon"]
+
+MS_PER_S = 1_000
+FAR_MS = 60.0
+NEAR_MS = 2.0
+
+
+class BulkDaemon:
+    """One daemon that runs lots when it holds the duty.
+
+    It keeps nothing on its disk.
+
+    Parameters
+    ----------
+    settings : serving_settings.ServingSettings
+        Validated settings.
+    """
+
+    def __init__(self, settings: serving_settings.ServingSettings) -> None:
+        self.settings = settings
+        self.clock = state.MonotonicClock()
+        self.wall_clock = state.WallClock()
+        self.rng = random.Random()
+        self.task_set = tasks.TaskSet()
+        self.client = http_client.HttpClient()
+        self.store = platform_store.PlatformStore(
+            self.client, addresses.parse_address(settings.store)
+        )
+        self.regions = settings.region_of()
+        incarnation = state.Incarnation(
+            settings.name, self.wall_clock.now_ms()
+        )
+        self.tenure = tenure.Tenure(
+            self.clock, self.store, str(incarnation), self._make_runner
+        )
+        self.retired: set[str] = set()
+
+    async def start(self) -> None:
+        """Begin to contend for the duty."""
+        self.task_set.spawn(self.tenure.run())
+
+    async def stop(self) -> None:
+        """Hand the duty on and end."""
+        duty = self.tenure.duty
+        if duty is not None:
+            await duty.stop()
+        await self.tenure.give_up()
+        await self.task_set.cancel_all()
+        self.client.close()
+        eliot.log_message("stopped", store_calls=self.store.calls)
+
+    def _make_runner(self, fence: int) -> runner.LotRunner:
+        made = runner.LotRunner(
+            self.clock,
+            self.wall_clock,
+            self.store,
+            self.client,
+            self.settings.name,
+            fence,
+            serving.ExpectedTime(self.clock, self.rng, self._network_ms),
+            self._is_near,
+            int(self.settings.lot_kept_s * MS_PER_S),
+        )
+        made.operator.listeners.append(
+            lambda: self._answer_retirements(made.operator.retiring)
+        )
+        return made
+
+    def _answer_retirements(self, retiring: set[str]) -> None:
+        for name in retiring - self.retired:
+            self.retired.add(name)
+            self.task_set.spawn(self._retire(name))
+
+    async def _retire(self, name: str) -> None:
+        """Tell that an instance holds nothing that must last."""
+        key = names.RETIRE_STATUS_PREFIX + name
+        put = state.Put(key, documents.encode_retirement(True))
+        while True:
+            answer = await self.store.write([], [put])
+            eliot.log_message(
+                "instance-emptied", instance=name, outcome=answer.status.value
+            )
+            if answer.status is state.WriteStatus.APPLIED:
+                return
+            await asyncio.sleep(1)
+
+    def _is_near(self, data_centre: str) -> bool:
+        return self.regions.get(data_centre) == self.settings.region
+
+    def _network_ms(self, data_centre: str) -> float:
+        if data_centre == self.settings.data_centre:
+            return 0.0
+        return NEAR_MS if self._is_near(data_centre) else FAR_MS
--- /dev/null
+++ b/poplarloft/daemon/serving/entry.py
@@ -0,0 +1,232 @@
+"""The duty `entry`: answers clients and trainers."""
+
+import asyncio
+import random
+
+import eliot
+from returns import result
+
+from poplarloft.coordination import serving
+from poplarloft.daemon import tasks
+from poplarloft.daemon.serving import forwarding
+from poplarloft.daemon.serving import lotdesk
+from poplarloft.daemon.serving import view
+from poplarloft.platform import ingress
+from poplarloft.platform import lots
+from poplarloft.platform import samplers
+from poplarloft.platform import store as platform_store
+from poplarloft.protocol import addresses
+from poplarloft.protocol import errors
+from poplarloft.protocol import http
+from poplarloft.protocol import lot_records
+from poplarloft.protocol import serving_settings
+from poplarloft import state
+from poplarloft.transport import http_client
+from poplarloft.transport import http_server
+
+__all__ = ["EntryDaemon"]
+
+MS_PER_S = 1_000
+FAR_MS = 60.0
+NEAR_MS = 2.0
+EXIT_MARGIN_MS = 500
+
+
+class EntryDaemon:
+    """One daemon with clients.
+
+    Parameters
+    ----------
+    settings : serving_settings.ServingSettings
+        Validated settings.
+    """
+
+    def __init__(self, settings: serving_settings.ServingSettings) -> None:
+        self.settings = settings
+        self.clock = state.MonotonicClock()
+        self.rng = random.Random()
+        self.task_set = tasks.TaskSet()
+        self.client = http_client.HttpClient()
+        self.store = platform_store.PlatformStore(
+            self.client, addresses.parse_address(settings.store)
+        )
+        self.operator = view.OperatorView()
+        self.samplers = view.SamplerView(self.clock)
+        self.regions = settings.region_of()
+        self.forwarder = forwarding.Forwarder(
+            self.clock,
+            self.samplers,
+            samplers.SamplerClient(self.client),
+            serving.ExpectedTime(self.clock, self.rng, self._network_ms),
+            self.rng,
+        )
+        self.desk = lotdesk.LotDesk(
+            self.clock,
+            state.WallClock(),
+            self.store,
+            int(settings.lot_kept_s * MS_PER_S),
+        )
+        self.is_stopping = False
+        self.front = self._make_server(self.handle)
+        self.readiness = self._make_server(self.answer_readiness)
+        self.operator.listeners.append(self._apply_limits)
+
+    async def start(self) -> None:
+        """Listen and follow the store."""
+        settings = self.settings
+        if settings.listen is None or settings.ready_listen is None:
+            raise errors.FieldError("--listen", "expected with duty entry")
+        self.operator.start(self.store, self.task_set)
+        self.samplers.start(self.store, self.task_set)
+        await self.readiness.start(
+            addresses.parse_address(settings.ready_listen)
+        )
+        await self.front.start(addresses.parse_address(settings.listen))
+
+    async def stop(self) -> None:
+        """Finish what is in flight, within the time that is granted."""
+        self.is_stopping = True
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self.settings.grace_s
+        await asyncio.sleep(self.settings.drain_notice_ms / MS_PER_S)
+        left_ms = (end_s - loop.time()) * MS_PER_S - EXIT_MARGIN_MS
+        cut = await self.front.drain(max(0, int(left_ms)))
+        await self.readiness.drain(0)
+        await self.task_set.cancel_all()
+        self.client.close()
+        eliot.log_message("stopped", cut=cut, store_calls=self.store.calls)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send clients here."""
+        return (
+            not self.is_stopping
+            and self.operator.configuration is not None
+            and self.samplers.is_listed.is_set()
+        )
+
+    async def answer_readiness(
+        self, request: http.HttpRequest
+    ) -> http.HttpResponse:
+        """Answer the balancer."""
+        if not ingress.is_readiness_question(request):
+            return ingress.plain_response(404)
+        return ingress.plain_response(200 if self.is_ready else 503)
+
+    async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        """Answer a client."""
+        try:
+            return await self._handle(request)
+        except errors.ProtocolError as error:
+            eliot.log_message(
+                "request-malformed",
+                request=ingress.request_id(request),
+                path=request.path[:200],
+                error=str(error)[:200],
+            )
+            return ingress.refusal_response(
+                state.Refusal(
+                    state.Reason.BAD_REQUEST,
+                    state.Verdict.NOT_RUN,
+                    str(error),
+                )
+            )
+
+    async def _handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        lot_call = ingress.parse_lot_call(request)
+        if lot_call is not None:
+            return await self._handle_lot_call(lot_call)
+        configuration = self.operator.configuration
+        if configuration is None:
+            return self._refuse(
+                request, state.Reason.NOT_READY, "no configuration is known"
+            )
+        host = ingress.request_host(request)
+        route = configuration.find_route(host, request.path)
+        if route is None:
+            return self._refuse(
+                request,
+                state.Reason.UNKNOWN_ROUTE,
+                f"no route for {host}{request.path[:100]} in configuration "
+                f"{configuration.version}",
+            )
+        if route.kind is state.RepeatKind.LOTS:
+            return await self._accept(request, host)
+        call = ingress.forwarded_call(request)
+        return await self.forwarder.handle(call, route)
+
+    async def _accept(
+        self, request: http.HttpRequest, host: str
+    ) -> http.HttpResponse:
+        lot_id = lot_records.check_lot_id(ingress.request_id(request))
+        lot = lots.decode_lot(lot_id, host, request.path, request.body)
+        refusal = await self.desk.accept(lot)
+        if refusal is not None:
+            return ingress.refusal_response(refusal)
+        return ingress.plain_response(202)
+
+    async def _handle_lot_call(
+        self, call: ingress.ReadLot | ingress.ReadItem | ingress.EndLot
+    ) -> http.HttpResponse:
+        lot_records.check_lot_id(call.lot_id)
+        match call:
+            case ingress.ReadLot():
+                return ingress.results_response(await self.desk.read(call))
+            case ingress.EndLot(lot_id):
+                refusal = await self.desk.end(lot_id)
+                if refusal is not None:
+                    return ingress.refusal_response(refusal)
+                return ingress.plain_response(200)
+            case ingress.ReadItem():
+                match await self.desk.item_body(call):
+                    case result.Success(body):
+                        return ingress.plain_response(200, body)
+                    case result.Failure(failure):
+                        return ingress.refusal_response(failure)
+        raise AssertionError(call)
+
+    def _refuse(
+        self, request: http.HttpRequest, reason: state.Reason, detail: str
+    ) -> http.HttpResponse:
+        eliot.log_message(
+            "request-refused",
+            request=ingress.request_id(request),
+            reason=reason.value,
+            verdict=state.Verdict.NOT_RUN.value,
+            detail=detail,
+        )
+        refusal = state.Refusal(reason, state.Verdict.NOT_RUN, detail)
+        return ingress.refusal_response(refusal)
+
+    def _network_ms(self, data_centre: str) -> float:
+        """Return the time to an upstream's place and back."""
+        if data_centre == self.settings.data_centre:
+            return 0.0
+        is_near = self.regions.get(data_centre) == self.settings.region
+        return NEAR_MS if is_near else FAR_MS
+
+    def _make_server(
+        self, handler: http_server.Handler
+    ) -> http_server.HttpServer:
+        return http_server.HttpServer(
+            handler,
+            http_server.ServerLimits(),
+            self._max_body_bytes,
+            cancels=True,
+        )
+
+    def _max_body_bytes(self, path: str) -> int:
+        configuration = self.operator.configuration
+        limits = configuration.limits if configuration else None
+        return (limits or state.ServingLimits()).max_body_bytes
+
+    def _apply_limits(self) -> None:
+        configuration = self.operator.configuration
+        if configuration is None:
+            return
+        limits = configuration.limits
+        self.front.limits = http_server.ServerLimits(
+            max_head_bytes=limits.max_head_bytes,
+            head_timeout_ms=limits.head_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        )
--- /dev/null
+++ b/poplarloft/daemon/serving/main.py
@@ -0,0 +1,53 @@
+"""Runs `poplarloftd platform` from its settings to its end."""
+
+import asyncio
+from collections import abc
+import signal
+
+import eliot
+
+from poplarloft.daemon import logs
+from poplarloft.daemon.serving import bulk
+from poplarloft.daemon.serving import entry
+from poplarloft.protocol import errors
+from poplarloft.protocol import serving_settings
+
+__all__ = ["run_platform"]
+
+
+def run_platform(arguments: abc.Sequence[str]) -> None:
+    """Run until SIGTERM; raises `FieldError` for a bad setting."""
+    settings = serving_settings.load_serving_settings(arguments)
+    logs.start_logging(settings.name)
+    asyncio.run(_run(settings, arguments))
+
+
+async def _run(
+    settings: serving_settings.ServingSettings, arguments: abc.Sequence[str]
+) -> None:
+    daemon: entry.EntryDaemon | bulk.BulkDaemon
+    if settings.duty == "entry":
+        daemon = entry.EntryDaemon(settings)
+    else:
+        daemon = bulk.BulkDaemon(settings)
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, arguments)
+    eliot.log_message("starting", duty=settings.duty)
+    await daemon.start()
+    eliot.log_message("started", duty=settings.duty)
+    await stopping.wait()
+    eliot.log_message("stopping")
+    await daemon.stop()
+
+
+def _reload(arguments: abc.Sequence[str]) -> None:
+    """Check the settings file anew; its places count from the next start."""
+    try:
+        serving_settings.load_serving_settings(arguments)
+    except errors.FieldError as error:
+        eliot.log_message("reload-refused", error=str(error))
+        return
+    eliot.log_message("reloaded")
--- /dev/null
+++ b/poplarloft/daemon/serving/runner.py
@@ -0,0 +1,295 @@
+"""The duty of running lots: items, rewards, results and weights."""
+
+import asyncio
+from collections import abc
+
+import eliot
+from returns import result
+
+from poplarloft.coordination import serving
+from poplarloft.daemon import tasks
+from poplarloft.daemon.serving import follower
+from poplarloft.daemon.serving import generation
+from poplarloft.daemon.serving import listing
+from poplarloft.daemon.serving import rewards
+from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving import weights
+from poplarloft.platform import names
+from poplarloft.platform import samplers
+from poplarloft.protocol import errors
+from poplarloft.protocol import lot_records
+from poplarloft import state
+from poplarloft.transport import http_client
+
+__all__ = ["LotRunner"]
+
+TICK_MS = 200
+KEEP_ENDED_MS = 3_500
+MS_PER_S = 1_000
+SAMPLER_PAUSE_MS = 300
+
+
+class LotRunner:
+    """Runs all open lots of a cell while it holds the duty.
+
+    Parameters
+    ----------
+    clock, wall_clock : state.Clock
+        Monotonic time, and the time that records carry.
+    store : state.RevisionStore
+        Keeps lots and results.
+    client : http_client.HttpClient
+        Connections to upstreams.
+    name : str
+        This daemon's name.
+    fence : int
+        Fencing number of the duty.
+    balancer : serving.ExpectedTime
+        Chooses upstreams for rewards.
+    is_near : callable
+        Tells whether a data centre is in this region.
+    kept_ms : int
+        Time for which a lot can be read.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        wall_clock: state.Clock,
+        store: state.RevisionStore,
+        client: http_client.HttpClient,
+        name: str,
+        fence: int,
+        balancer: serving.ExpectedTime,
+        is_near: abc.Callable[[str], bool],
+        kept_ms: int,
+    ) -> None:
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.store = store
+        self.fence = fence
+        self.may_order = True
+        self.kept_ms = kept_ms
+        self.task_set = tasks.TaskSet()
+        self.operator = view.OperatorView(names.OPERATOR_PREFIX)
+        self.known = view.SamplerView(clock, SAMPLER_PAUSE_MS)
+        self.planner = serving.Planner(clock, is_near)
+        sampler_client = samplers.SamplerClient(client)
+        self.rewards = rewards.RewardCaller(
+            clock, self.operator, self.known, sampler_client, balancer
+        )
+        self.generation = generation.Generation(
+            clock, wall_clock, sampler_client, self.planner, self.task_set
+        )
+        self.generation.on_whole = self._on_whole
+        self.generation.on_failed = self._on_result
+        self.generation.on_end = self.kick
+        self.weights = weights.WeightOrders(
+            clock, sampler_client, self.planner, self.task_set, name, self
+        )
+        self.listings: dict[str, listing.ResultList] = {}
+        self.records: dict[str, state.LotRecord] = {}
+        self.ended: set[str] = set()
+        self.is_kicked = False
+
+    async def start(self) -> None:
+        """Follow the store and begin."""
+        self.operator.start(self.store, self.task_set)
+        self.known.start(self.store, self.task_set)
+        await self.known.is_listed.wait()
+        followed = follower.PrefixFollower(
+            self.store, lot_records.LOTS_PREFIX, self
+        )
+        self.task_set.spawn(followed.run())
+        self.task_set.spawn(self._tick())
+        self.operator.listeners.append(self.kick)
+        self.known.listeners.append(self.kick)
+
+    async def stop(self) -> None:
+        """Stop all runs and calls."""
+        await self.task_set.cancel_all()
+
+    def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
+        """Take all lots that are kept."""
+        for entry in entries:
+            lot_id, is_end = lot_records.parse_lot_key(entry.key)
+            if is_end:
+                self._end(lot_id)
+        for entry in entries:
+            lot_id, is_end = lot_records.parse_lot_key(entry.key)
+            if not is_end:
+                self._take_record(lot_id, entry)
+
+    def on_change(self, change: state.Change) -> None:
+        """Take a new lot or the end of one."""
+        lot_id, is_end = lot_records.parse_lot_key(change.key)
+        if change.entry is None:
+            return
+        if is_end:
+            self._end(lot_id)
+        else:
+            self._take_record(lot_id, change.entry)
+
+    def on_lost(self) -> None:
+        """Go on with the lots that are known."""
+
+    def on_regained(self) -> None:
+        """Go on with what the store shows next."""
+
+    def kick(self) -> None:
+        """Decide anew soon; many calls make one decision."""
+        if not self.is_kicked:
+            self.is_kicked = True
+            asyncio.get_running_loop().call_soon(self._decide)
+
+    def _decide(self) -> None:
+        self.is_kicked = False
+        configuration = self.operator.configuration
+        if configuration is None:
+            return
+        self._plan_waiting(configuration)
+        engines = [
+            sampler
+            for service in configuration.services.values()
+            if service.is_engine
+            for sampler in self.known.registry.of_service(service.name)
+        ]
+        self.planner.see_engines(engines)
+        for target in self.operator.targets.values():
+            self.weights.planner.name_version(target)
+        self.weights.give_orders()
+        for start in self.planner.starts():
+            self.generation.start(start)
+
+    async def _tick(self) -> None:
+        """Decide now and then, since time alone changes decisions."""
+        while True:
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+            self._give_up_old()
+            self.kick()
+
+    def _take_record(self, lot_id: str, entry: state.Entry) -> None:
+        if lot_id in self.records or lot_id in self.ended:
+            return
+        try:
+            record = lot_records.decode_record(entry.value)
+        except errors.FieldError as error:
+            eliot.log_message(
+                "lot-unreadable", request=lot_id, error=str(error)
+            )
+            return
+        self.records[lot_id] = record
+        self.task_set.spawn(self._open(record))
+
+    async def _open(self, record: state.LotRecord) -> None:
+        """Read what is listed of a lot, then plan the rest."""
+        lot = record.lot
+        book = listing.ResultList(
+            self.clock, self.store, lot, self.task_set, self._on_listed
+        )
+        await book.read()
+        self.listings[lot.id] = book
+        eliot.log_message(
+            "lot-opened",
+            request=lot.id,
+            step=lot.step,
+            model=lot.model,
+            min_version=lot.min_version,
+            items=len(lot.items),
+            listed=len(book.book.listed),
+            age_ms=self.wall_clock.now_ms() - record.accepted_at_ms,
+        )
+        self.kick()
+
+    def _plan_waiting(
+        self, configuration: state.ServingConfiguration
+    ) -> None:
+        """Plan the lots that are read but not planned yet."""
+        for lot_id, book in self.listings.items():
+            if lot_id in self.planner.lots or lot_id in self.ended:
+                continue
+            record = self.records[lot_id]
+            route = configuration.find_route(record.lot.host, record.lot.path)
+            if book.book.is_whole or route is None:
+                continue
+            age_ms = self.wall_clock.now_ms() - record.accepted_at_ms
+            plan = self.planner.add_lot(
+                record.lot,
+                route,
+                self.clock.now_ms() - age_ms,
+                book.book.listed,
+            )
+            for group in plan.groups.values():
+                for text in group:
+                    self._resume(text)
+
+    def _resume(self, text: serving.ItemText) -> None:
+        """Go on with a text kept from an earlier lot."""
+        match text.stage:
+            case serving.Stage.WHOLE:
+                self._on_whole(text)
+            case serving.Stage.SCORED:
+                self._on_result(text)
+            case serving.Stage.WAITING:
+                self.generation.cancel(text.item.id)
+
+    def _on_whole(self, text: serving.ItemText) -> None:
+        if text.item.id not in self.planner.kept:
+            self.task_set.spawn(self._score(text))
+
+    async def _score(self, text: serving.ItemText) -> None:
+        await self.rewards.score(text)
+        self._on_result(text)
+
+    def _on_result(self, text: serving.ItemText) -> None:
+        """List a scored or failed text in the lot that has it open."""
+        for plan in self.planner.lots.values():
+            group = plan.groups.get(text.item.group, [])
+            if not any(held is text for held in group):
+                continue
+            done = (serving.Stage.SCORED, serving.Stage.FAILED)
+            is_whole = all(held.stage in done for held in group)
+            self.listings[plan.lot.id].add(text.result(), is_whole)
+            return
+
+    def _on_listed(self, lot_id: str) -> None:
+        book = self.listings[lot_id].book
+        if book.is_whole:
+            self.planner.end_lot(lot_id)
+
+    def _end(self, lot_id: str) -> None:
+        """Stop a lot; texts that run may go on for the lot that follows."""
+        if lot_id in self.ended:
+            return
+        self.ended.add(lot_id)
+        book = self.listings.pop(lot_id, None)
+        if book is not None:
+            book.close()
+        for text in self.planner.end_lot(lot_id):
+            if text.stage is serving.Stage.RUNNING:
+                asyncio.get_running_loop().call_later(
+                    KEEP_ENDED_MS / MS_PER_S, self._stop_kept, text
+                )
+        eliot.log_message("lot-stopped", request=lot_id)
+        self.kick()
+
+    def _stop_kept(self, text: serving.ItemText) -> None:
+        """Stop a text that no further lot has taken."""
+        if self.planner.kept.get(text.item.id) is text:
+            self.generation.cancel(text.item.id)
+
+    def _give_up_old(self) -> None:
+        """Fail the items whose time to live has passed."""
+        now_ms = self.clock.now_ms()
+        for plan in list(self.planner.lots.values()):
+            if now_ms - plan.accepted_at_ms < plan.route.item_ttl_ms:
+                continue
+            for group in plan.groups.values():
+                for text in group:
+                    if text.stage in (
+                        serving.Stage.WAITING,
+                        serving.Stage.RUNNING,
+                    ):
+                        self.generation.cancel(text.item.id)
+                        text.stage = serving.Stage.FAILED
+                        self._on_result(text)
--- /dev/null
+++ b/poplarloft/platform/documents.py
@@ -0,0 +1,182 @@
+"""What the operator, the trainers and the samplers write to the store."""
+
+import typing
+
+import msgspec
+
+from poplarloft.platform import names
+from poplarloft.protocol import addresses
+from poplarloft.protocol import errors
+from poplarloft import state
+
+__all__ = [
+    "decode_configuration",
+    "decode_sampler",
+    "decode_weights_target",
+    "encode_retirement",
+]
+
+MS_PER_S = 1_000
+KINDS = {
+    "idempotent": state.RepeatKind.IDEMPOTENT,
+    "non_idempotent": state.RepeatKind.NON_IDEMPOTENT,
+    "stream": state.RepeatKind.STREAM,
+    "rollout": state.RepeatKind.LOTS,
+    "batch": state.RepeatKind.LOTS,
+}
+T = typing.TypeVar("T")
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    service: str = ""
+    split: list[_Split] = []  # in place of `service`
+    timeout_ms: int = 30_000
+    slo_ms: float = 1_000
+    max_attempts: int = 1
+    priority: int = 5
+    resumable: bool = False
+    due_ms: float = 60_000
+    item_ttl_s: float = 600
+    single_version: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _LoadedModel(msgspec.Struct):
+    name: str
+    version: int = 1
+
+
+class _Announcement(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: typing.Literal["ready", "draining"]
+    slots: int = 1
+    born: int = 0  # Unix milliseconds of the start
+    models: list[_LoadedModel] = []
+    sequence: int = 0  # orders accepted since the start
+
+
+class _Target(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_configuration(value: bytes) -> state.ServingConfiguration:
+    """Return the operator's configuration; raises `FieldError`."""
+    document = _decode("configuration", value, _Configuration)
+    limits = document.limits
+    return state.ServingConfiguration(
+        document.version,
+        tuple(_route(row) for row in document.routes if row.kind in KINDS),
+        {row.name: _service(row) for row in document.services},
+        state.ServingLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def decode_sampler(key: str, value: bytes) -> state.Sampler:
+    """Return a sampler's announcement; raises `FieldError`."""
+    row = _decode("sampler", value, _Announcement)
+    return state.Sampler(
+        key.removeprefix(names.SAMPLER_PREFIX),
+        row.born,
+        row.service,
+        addresses.parse_address(row.address),
+        row.zone,
+        row.slots,
+        row.state == "draining",
+        {model.name: model.version for model in row.models},
+        row.sequence,
+    )
+
+
+def decode_weights_target(value: bytes) -> state.WeightsTarget:
+    """Return the version that a trainer named; raises `FieldError`."""
+    row = _decode("weights target", value, _Target)
+    return state.WeightsTarget(row.model, row.version)
+
+
+def encode_retirement(is_done: bool) -> bytes:
+    """Return the status of an instance that is to be emptied."""
+    return msgspec.json.encode(
+        {"state": "completed" if is_done else "running"}
+    )
+
+
+def _decode(what: str, value: bytes, shape: type[T]) -> T:
+    try:
+        return msgspec.json.decode(value, type=shape)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.FieldError(what, str(error)) from error
+
+
+def _route(row: _Route) -> state.PathRoute:
+    targets = [state.Target(s.service, s.weight) for s in row.split]
+    if not targets:
+        targets = [state.Target(row.service)]
+    return state.PathRoute(
+        name=row.name,
+        host=row.host,
+        prefix=row.prefix,
+        kind=KINDS[row.kind],
+        targets=tuple(targets),
+        timeout_ms=row.timeout_ms,
+        objective_ms=int(row.slo_ms),
+        max_attempts=row.max_attempts,
+        priority=row.priority,
+        resumable=row.resumable,
+        due_ms=int(row.due_ms),
+        item_ttl_ms=int(row.item_ttl_s * MS_PER_S),
+        single_version=row.single_version,
+    )
+
+
+def _service(row: _Service) -> state.ServiceInfo:
+    if row.engine is None:
+        return state.ServiceInfo(row.name, row.max_conns)
+    models = tuple(model.name for model in row.engine.models)
+    return state.ServiceInfo(
+        row.name, row.max_conns, row.engine.slots, models
+    )
--- /dev/null
+++ b/poplarloft/platform/ingress.py
@@ -0,0 +1,200 @@
+"""Requests of clients and trainers, and the answers to them."""
+
+import dataclasses
+from urllib import parse
+
+import msgspec
+
+from poplarloft.platform import lots
+from poplarloft.platform import names
+from poplarloft.protocol import errors
+from poplarloft.protocol import http
+from poplarloft import state
+
+__all__ = [
+    "EndLot",
+    "ForwardedCall",
+    "ReadItem",
+    "ReadLot",
+    "forwarded_call",
+    "is_readiness_question",
+    "parse_lot_call",
+    "plain_response",
+    "refusal_response",
+    "request_host",
+    "request_id",
+    "results_response",
+]
+
+MS_PER_S = 1_000
+DEFAULT_DEADLINE_MS = 30_000
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+STATUS_OF_REASON = {
+    state.Reason.BAD_REQUEST: 400,
+    state.Reason.UNKNOWN_ROUTE: 404,
+    state.Reason.UNKNOWN_LOT: 404,
+    state.Reason.BODY_TOO_LARGE: 413,
+    state.Reason.UPSTREAM_FAILED: 502,
+    state.Reason.DEADLINE: 504,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedCall:
+    """A client's request that an upstream is to answer."""
+
+    id: str
+    host: str
+    method: str
+    target: str
+    headers: http.Headers
+    body: bytes
+    deadline_ms: int
+    last_event_id: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadLot:
+    """A question for results from a position on."""
+
+    lot_id: str
+    position: int
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadItem:
+    """A question for the body of an item."""
+
+    lot_id: str
+    item_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndLot:
+    """An order to end a lot."""
+
+    lot_id: str
+
+
+def is_readiness_question(request: http.HttpRequest) -> bool:
+    """Tell whether the balancer asks if this instance is ready."""
+    return request.path == names.READY_PATH
+
+
+def request_host(request: http.HttpRequest) -> str:
+    """Return the host that the request names."""
+    return request.headers.get("host", "").lower()
+
+
+def request_id(request: http.HttpRequest) -> str:
+    """Return the client's identifier of this attempt."""
+    return request.headers.get(names.REQUEST_ID, "")
+
+
+def parse_lot_call(
+    request: http.HttpRequest,
+) -> ReadLot | ReadItem | EndLot | None:
+    """Return a question or order about a lot; None for other requests.
+
+    Raises
+    ------
+    FieldError
+        If a number is not one.
+    """
+    query = parse.parse_qs(request.query)
+    if request.path.startswith(names.ITEM_PATH) and request.method == "GET":
+        lot_id = request.path.removeprefix(names.ITEM_PATH)
+        return ReadItem(lot_id, query.get("id", [""])[0])
+    if not request.path.startswith(names.LOT_PATH):
+        return None
+    lot_id = request.path.removeprefix(names.LOT_PATH)
+    if request.method == "DELETE":
+        return EndLot(lot_id)
+    if request.method != "GET":
+        return None
+    position = _number("after", query.get("after", ["0"])[0])
+    wait_ms = _number(
+        names.WAIT_MS, request.headers.get(names.WAIT_MS, "0")
+    )
+    return ReadLot(lot_id, position, wait_ms)
+
+
+def forwarded_call(request: http.HttpRequest) -> ForwardedCall:
+    """Return a client's request in our terms; raises `FieldError`."""
+    target = request.path
+    if request.query:
+        target = f"{target}?{request.query}"
+    dropped = HOP_HEADERS | {names.DEADLINE_MS, names.EXPECT_INSTANCE}
+    connection = request.headers.get("connection", "")
+    dropped |= {name.strip().lower() for name in connection.split(",")}
+    headers = tuple(
+        (name, value)
+        for name, value in request.headers.items()
+        if name not in dropped
+    )
+    deadline = request.headers.get(names.DEADLINE_MS)
+    last_event = request.headers.get(names.LAST_EVENT_ID)
+    return ForwardedCall(
+        request_id(request),
+        request_host(request),
+        request.method,
+        target,
+        headers,
+        request.body,
+        _number(names.DEADLINE_MS, deadline or str(DEFAULT_DEADLINE_MS)),
+        None if last_event is None else _number("last event", last_event),
+    )
+
+
+def results_response(page: state.ResultPage) -> http.HttpResponse:
+    """Return the answer with a page of results."""
+    if page.refusal is not None:
+        return refusal_response(page.refusal)
+    body = lots.encode_results(page)
+    return http.HttpResponse(200, (("content-type", "application/json"),), body)
+
+
+def plain_response(status: int, body: bytes = b"") -> http.HttpResponse:
+    """Return an answer with nothing but a status and bytes."""
+    return http.HttpResponse(status, (), body)
+
+
+def refusal_response(refusal: state.Refusal) -> http.HttpResponse:
+    """Return the answer to a request that got no upstream's answer.
+
+    Statuses of refusal promise that the request has not run, so they are
+    used for that verdict only.
+    """
+    status = STATUS_OF_REASON.get(refusal.reason, 503)
+    not_run = refusal.verdict is state.Verdict.NOT_RUN
+    if not_run and status > 500:
+        status = 503
+    if not not_run and status == 503:
+        status = 502
+    headers = [("content-type", "application/problem+json")]
+    if refusal.retry_after_ms is not None:
+        seconds = refusal.retry_after_ms / MS_PER_S
+        headers.append((names.RETRY_AFTER, f"{seconds:.3f}"))
+    body = msgspec.json.encode(
+        {"title": refusal.reason.value, "detail": refusal.detail}
+    )
+    return http.HttpResponse(status, tuple(headers), body)
+
+
+def _number(field: str, text: str) -> int:
+    if not text.isdecimal():
+        raise errors.FieldError(field, f"expected a number, got {text[:80]!r}")
+    return int(text)
--- /dev/null
+++ b/poplarloft/platform/lots.py
@@ -0,0 +1,122 @@
+"""Lots of samples as trainers send them and read them."""
+
+import base64
+import binascii
+
+import msgspec
+
+from poplarloft.platform import names
+from poplarloft.protocol import errors
+from poplarloft import state
+
+__all__ = ["decode_lot", "encode_results"]
+
+STATES = {
+    state.ItemState.COMPLETED: "completed",
+    state.ItemState.FAILED: "down",
+}
+
+
+class _Scorer(msgspec.Struct):
+    id: str
+    host: str
+    path: str
+    body: str = ""
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    tokens: int  # prompt tokens and the most output tokens together
+    headers: dict[str, str] = {}
+    body: str = ""
+    group: str = ""
+    scorer: _Scorer | None = None
+
+
+class _Lot(msgspec.Struct):
+    items: list[_Item]
+    model: str = ""
+    step: int = 0
+    min_version: int = 0
+    group_count: int = 0  # complete groups that the trainer waits for
+
+
+def decode_lot(
+    lot_id: str, host: str, path: str, body: bytes
+) -> state.Lot:
+    """Return a submitted lot.
+
+    Raises
+    ------
+    FieldError
+        If a field is missing or has a value that is not allowed.
+    """
+    try:
+        document = msgspec.json.decode(body, type=_Lot)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.FieldError("lot", str(error)) from error
+    if not document.items:
+        raise errors.FieldError("items", "expected at least one item")
+    items = tuple(_item(row) for row in document.items)
+    if len({item.id for item in items}) < len(items):
+        raise errors.FieldError("items", "two items have the same id")
+    return state.Lot(
+        lot_id,
+        host,
+        path,
+        document.model,
+        document.step,
+        document.min_version,
+        document.group_count,
+        items,
+    )
+
+
+def encode_results(page: state.ResultPage) -> bytes:
+    """Return the body of an answer with results."""
+    rows = []
+    for listed in page.results:
+        row: dict[str, object] = {
+            "id": listed.item_id,
+            "state": STATES[listed.state],
+            "text": listed.text,
+            "versions": listed.versions,
+        }
+        if listed.score:
+            row["score"] = listed.score
+        rows.append(row)
+    return msgspec.json.encode(
+        {"total": page.total, "next": page.next_position, "results": rows}
+    )
+
+
+def _item(row: _Item) -> state.LotItem:
+    headers = {name.lower(): value for name, value in row.headers.items()}
+    counts = headers.get(names.TOKEN_COUNTS, "").partition(",")
+    hint = headers.get(names.LENGTH_HINT, "")
+    return state.LotItem(
+        row.id,
+        row.path,
+        tuple(row.headers.items()),
+        _bytes("items.body", row.body),
+        row.tokens,
+        row.group,
+        int(counts[0]) if counts[0].isdecimal() else 0,
+        int(hint) if hint.isdecimal() else None,
+        _reward(row.scorer),
+    )
+
+
+def _reward(row: _Scorer | None) -> state.RewardCall | None:
+    if row is None:
+        return None
+    body = _bytes("scorer.body", row.body)
+    return state.RewardCall(row.id, row.host, row.path, body)
+
+
+def _bytes(field: str, text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except binascii.Error as error:
+        raise errors.FieldError(field, f"not base64: {error}") from error
--- /dev/null
+++ b/poplarloft/platform/names.py
@@ -0,0 +1,38 @@
+"""Paths, headers and keys of the users' platform."""
+
+__all__: list[str] = []
+
+READY_PATH = "/poplarloft/ready"
+LOT_PATH = "/poplarloft/lots/"
+ITEM_PATH = "/poplarloft/items/"
+REPORT_PATH = "/poplarloft/report"
+ORDER_PATH = "/poplarloft/order"
+
+STORE_KEY_PATH = "/poplarloft/kv-key"
+STORE_RANGE_PATH = "/poplarloft/kv-range"
+STORE_WATCH_PATH = "/poplarloft/kv-watch"
+STORE_WRITE_PATH = "/poplarloft/kv-txn"
+STORE_LEASE_PATH = "/poplarloft/kv-lease"
+STORE_KEEP_PATH = "/poplarloft/kv-keep/"
+STORE_LEASE_END_PATH = "/poplarloft/kv-lease-end/"
+
+# Header names are compared in lower case.
+REQUEST_ID = "x-request-id"
+DEADLINE_MS = "x-deadline-ms"
+WAIT_MS = "x-wait-ms"
+EXPECT_INSTANCE = "x-expect-instance"
+NOT_RUN = "x-not-run"
+SIGNATURE = "x-server-stamp"
+PRIORITY = "x-request-priority"
+VERSION = "x-weight-versions"
+LENGTH_HINT = "x-length-hint"
+TOKEN_COUNTS = "x-token-counts"
+LAST_EVENT_ID = "last-event-id"
+RETRY_AFTER = "retry-after"
+
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+VERSION_PREFIX = "op/version/"
+RETIRE_PREFIX = "op/retire/"
+RETIRE_STATUS_PREFIX = "status/retire/"
+SAMPLER_PREFIX = "servers/"
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -28,6 +28,13 @@
 from poplarloft.state.identity import Address
 from poplarloft.state.identity import Incarnation
 from poplarloft.state.identity import Place
+from poplarloft.state.lots import ItemState
+from poplarloft.state.lots import Lot
+from poplarloft.state.lots import LotItem
+from poplarloft.state.lots import LotRecord
+from poplarloft.state.lots import LotResult
+from poplarloft.state.lots import ResultPage
+from poplarloft.state.lots import RewardCall
 from poplarloft.state.membership import MemberRecord
 from poplarloft.state.membership import MemberStatus
 from poplarloft.state.peers import ClaimAnswer
@@ -36,6 +43,18 @@
 from poplarloft.state.peers import HeadRequest
 from poplarloft.state.ports import KeyValueStore
 from poplarloft.state.ports import Metrics
+from poplarloft.state.revisions import ABSENT
+from poplarloft.state.revisions import Change
+from poplarloft.state.revisions import Changes
+from poplarloft.state.revisions import Entry
+from poplarloft.state.revisions import Expectation
+from poplarloft.state.revisions import Page
+from poplarloft.state.revisions import Put
+from poplarloft.state.revisions import RevisionStore
+from poplarloft.state.revisions import StoreFailure
+from poplarloft.state.revisions import StoreFailureKind
+from poplarloft.state.revisions import WriteAnswer
+from poplarloft.state.revisions import WriteStatus
 from poplarloft.state.rumours import AbsolvedRumour
 from poplarloft.state.rumours import HeadRumour
 from poplarloft.state.rumours import LeavingRumour
@@ -43,11 +62,19 @@
 from poplarloft.state.rumours import Rumour
 from poplarloft.state.rumours import StrikeRumour
 from poplarloft.state.rumours import UsageRumour
+from poplarloft.state.samplers import Sampler
+from poplarloft.state.samplers import WeightsTarget
 from poplarloft.state.samples import Chunk
 from poplarloft.state.samples import Holdings
 from poplarloft.state.samples import Sample
 from poplarloft.state.samples import Slot
 from poplarloft.state.samples import Span
+from poplarloft.state.serving import PathRoute
+from poplarloft.state.serving import RepeatKind
+from poplarloft.state.serving import ServiceInfo
+from poplarloft.state.serving import ServingConfiguration
+from poplarloft.state.serving import ServingLimits
+from poplarloft.state.serving import Target
 from poplarloft.state.upstream import LoadReport
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
@@ -61,10 +88,13 @@
 from poplarloft.state.verdict import Verdict
 
 __all__ = [
+    "ABSENT",
     "ABSENT_VERSION",
     "AbsolvedRumour",
     "Address",
     "Body",
+    "Change",
+    "Changes",
     "Chunk",
     "Claim",
     "ClaimAnswer",
@@ -74,18 +104,25 @@
     "Configuration",
     "Document",
     "DocumentKind",
+    "Entry",
+    "Expectation",
     "HeadAnswer",
     "HeadRequest",
     "HeadRumour",
     "Holdings",
     "Incarnation",
+    "ItemState",
     "KeyValueStore",
     "Lease",
     "LeavingRumour",
     "Ledger",
     "LedgerId",
     "LoadReport",
+    "Lot",
     "LotBody",
+    "LotItem",
+    "LotRecord",
+    "LotResult",
     "ManualClock",
     "Mark",
     "MemberRecord",
@@ -93,19 +130,33 @@
     "Metrics",
     "MonotonicClock",
     "OwnerBody",
+    "Page",
+    "PathRoute",
     "Place",
     "Proposal",
     "ProposalState",
+    "Put",
     "QuarantineRumour",
     "Reason",
     "Refusal",
     "ReleaseBody",
+    "RepeatKind",
+    "ResultPage",
+    "RevisionStore",
+    "RewardCall",
     "RouteBody",
     "Rumour",
     "Sample",
+    "Sampler",
+    "ServiceInfo",
+    "ServingConfiguration",
+    "ServingLimits",
     "Slot",
     "Span",
+    "StoreFailure",
+    "StoreFailureKind",
     "StrikeRumour",
+    "Target",
     "Upstream",
     "UpstreamKind",
     "UpstreamStatus",
@@ -118,6 +169,9 @@
     "Versioned",
     "WallClock",
     "WeightsBody",
+    "WeightsTarget",
+    "WriteAnswer",
     "WriteOutcome",
     "WriteResult",
+    "WriteStatus",
 ]
--- /dev/null
+++ b/poplarloft/state/serving.py
@@ -0,0 +1,127 @@
+"""What the operator configures for serving: routes, services, limits."""
+
+import dataclasses
+import enum
+
+__all__ = [
+    "PathRoute",
+    "RepeatKind",
+    "ServiceInfo",
+    "ServingConfiguration",
+    "ServingLimits",
+    "Target",
+]
+
+
+class RepeatKind(enum.StrEnum):
+    """What the requests of a route are and whether they may repeat."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+    LOTS = "lots"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A service that gets a part of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PathRoute:
+    """Requests to one host under one path prefix.
+
+    Parameters
+    ----------
+    timeout_ms : int
+        Longest time that a caller is kept waiting.
+    objective_ms : int
+        Time within which an answer has its full value.
+    max_attempts : int
+        Upstreams to which one request may be sent.
+    priority : int
+        Rank, 0 is the highest.
+    due_ms, item_ttl_ms : int
+        For lots: time until all results are due, and until an item may
+        be given up, both from the first submission.
+    single_version : bool
+        For lots: whether a text must come from one weight version.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RepeatKind
+    targets: tuple[Target, ...]
+    timeout_ms: int = 30_000
+    objective_ms: int = 1_000
+    max_attempts: int = 1
+    priority: int = 5
+    resumable: bool = False
+    due_ms: int = 60_000
+    item_ttl_ms: int = 600_000
+    single_version: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RepeatKind.STREAM:
+            return self.resumable
+        return self.kind is RepeatKind.IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceInfo:
+    """A pool of upstreams of one kind.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that one upstream accepts from all callers.
+    slots : int or None
+        Requests that an engine runs at once; None for plain services.
+    models : tuple of str
+        Models that the engines serve.
+    """
+
+    name: str
+    max_connections: int
+    slots: int | None = None
+    models: tuple[str, ...] = ()
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether the service's upstreams are model engines."""
+        return self.slots is not None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServingLimits:
+    """Limits on what a client may send, and how slowly."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 33_554_432
+    head_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServingConfiguration:
+    """One version of the operator's configuration, whole."""
+
+    version: int
+    routes: tuple[PathRoute, ...]
+    services: dict[str, ServiceInfo]
+    limits: ServingLimits
+
+    def find_route(self, host: str, path: str) -> PathRoute | None:
+        """Return the route of `host` with the longest matching prefix."""
+        fitting = [
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.prefix)
+        ]
+        return max(fitting, key=lambda r: len(r.prefix), default=None)
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections import abc
+import re
+import socket
 import ssl
+import time
 
 import h11
 from returns import result
@@ -17,6 +20,11 @@
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 MAX_HEAD_BYTES = 65_536
 MS_PER_S = 1_000
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+EXPIRY_MARGIN_S = 0.3  # a request sent in the last moment is reset
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 FailureKind = retries.FailureKind
 
 
@@ -35,6 +43,23 @@
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self.expires_s = float("inf")
+        _probe_silence(writer)
+
+    def heed_keep_alive(self, value: str) -> None:
+        """Note how long the peer keeps the connection when idle."""
+        found = KEEP_ALIVE_TIMEOUT.search(value)
+        if found is not None:
+            idle_s = int(found[1]) - EXPIRY_MARGIN_S
+            self.expires_s = time.monotonic() + idle_s
+
+    def is_open(self) -> bool:
+        """Tell whether an idle connection may carry a request."""
+        return (
+            not self.reader.at_eof()
+            and not self.writer.is_closing()
+            and time.monotonic() < self.expires_s
+        )
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -90,6 +115,7 @@
             for name, value in head.headers
         }
         self.ended = False
+        connection.heed_keep_alive(self.headers.get("keep-alive", ""))
 
     async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body in pieces as large as each read gave.
@@ -179,7 +205,7 @@
         address : state.Address
             Where to.
         method, target, headers, body
-            The request; length and host headers are added.
+            The request; the length is added, and the host unless given.
         timeout_ms : int
             Longest time until the answer's head, and between two pieces
             of its body.
@@ -220,10 +246,13 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for connections in self.idle.values():
-            for connection in connections:
-                connection.close()
-        self.idle.clear()
+        for address in list(self.idle):
+            self.forget(address)
+
+    def forget(self, address: state.Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle.pop(address, []):
+            connection.close()
 
     async def _open(
         self, address: state.Address, fresh: bool
@@ -231,7 +260,7 @@
         idle = self.idle.get(address, [])
         while idle and not fresh:
             connection = idle.pop()
-            if not connection.reader.at_eof():
+            if connection.is_open():
                 return result.Success(connection)
             connection.close()
         try:
@@ -300,6 +329,19 @@
         await connection.writer.drain()
 
 
+def _probe_silence(writer: asyncio.StreamWriter) -> None:
+    """Have the kernel probe an idle connection, which may be dead."""
+    sock = writer.get_extra_info("socket")
+    if sock is None or sock.family is not socket.AF_INET:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S
+    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+
+
 async def _read_head(connection: _Connection) -> h11.Response:
     while True:
         event = await connection.next_event()
@@ -316,6 +358,8 @@
     headers: abc.Iterable[tuple[str, str]],
     body: bytes,
 ) -> h11.Request:
-    all_headers = [("host", str(address)), *headers]
+    all_headers = list(headers)
+    if not any(name.lower() == "host" for name, _ in all_headers):
+        all_headers.insert(0, ("host", str(address)))
     all_headers.append(("content-length", str(len(body))))
     return h11.Request(method=method, target=target, headers=all_headers)
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -66,6 +66,8 @@
         Returns the largest body in bytes for a path.
     tls : ssl.SSLContext or None
         Set for TLS.
+    cancels : bool
+        Whether a handler is cancelled when its client leaves.
     """
 
     def __init__(
@@ -74,11 +76,13 @@
         limits: ServerLimits,
         body_limit: BodyLimit,
         tls: ssl.SSLContext | None = None,
+        cancels: bool = False,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.body_limit = body_limit
         self.tls = tls
+        self.cancels = cancels
         self.sessions: dict[asyncio.Task[None], _Session] = {}
         self.draining = False
         self.server: asyncio.Server | None = None
@@ -153,7 +157,6 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.server = server
-        self.limits = server.limits
         self.reader = reader
         self.writer = writer
         self.http = self._new_http()
@@ -161,6 +164,11 @@
         self.served = False
         self.whole = True
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the limits in force."""
+        return self.server.limits
+
     def _new_http(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes
@@ -201,13 +209,49 @@
             return False
         if request is None:
             return False
-        response = await self.server.handler(request)
+        response = await self._handle(request)
+        if response is None:
+            return False
         await self._send(request, response)
         self.served = True
         return self.http.our_state is h11.DONE and (
             self.http.their_state is h11.DONE
         )
 
+    async def _handle(
+        self, request: http.HttpRequest
+    ) -> http.HttpResponse | None:
+        """Return the handler's response, None if the client left."""
+        if not self.server.cancels:
+            return await self.server.handler(request)
+        loop = asyncio.get_running_loop()
+        handling = loop.create_task(self._handler_call(request))
+        leaving = loop.create_task(self._await_leaving())
+        try:
+            await asyncio.wait(
+                {handling, leaving}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if handling.done():
+                return handling.result()
+            return None
+        finally:
+            for task in (handling, leaving):
+                task.cancel()
+            await asyncio.gather(handling, leaving, return_exceptions=True)
+
+    async def _handler_call(
+        self, request: http.HttpRequest
+    ) -> http.HttpResponse:
+        return await self.server.handler(request)
+
+    async def _await_leaving(self) -> None:
+        """Return when the client closes; keep what it sends meanwhile."""
+        try:
+            while data := await self.reader.read(READ_BYTES):
+                self.http.receive_data(data)
+        except OSError:
+            return
+
     async def _read_request(self) -> http.HttpRequest | None:
         head = await self._read_head()
         if head is None:
