--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -183,7 +183,10 @@
             await self._take_refusal(run, answer)
         version = samplers.first_version(answer)
         if version is None:
-            raise _Stopped("an answer without a weight version")
+            if not text.versions:
+                raise _Stopped("an answer without a weight version")
+            # Nothing is left to generate of a text that is resumed.
+            version = text.versions[-1]
         self._check_version(run, version)
         await self._take_events(run, answer, version)
         text.stage = serving.Stage.WHOLE
