--- a/poplarloft/coordination/serving/orders.py
+++ b/poplarloft/coordination/serving/orders.py
@@ -24,6 +24,11 @@
 class LoadPlanner:
     """Decides on orders to load weights.
 
+    Trainers allow some versions behind the newest, so engines take turns:
+    with one version allowed behind, half of the engines load each version
+    and the others serve meanwhile. An engine that no lot may use any more
+    loads first.
+
     Parameters
     ----------
     clock : state.Clock
@@ -33,6 +38,7 @@
     def __init__(self, clock: state.Clock) -> None:
         self.clock = clock
         self.targets: dict[str, state.WeightsTarget] = {}
+        self.allowed_behind: dict[str, int] = {}
         self.retry_at_ms: dict[planning.Life, int] = {}
 
     def name_version(self, target: state.WeightsTarget) -> None:
@@ -41,15 +47,21 @@
         if before is None or before.version < target.version:
             self.targets[target.model] = target
 
+    def see_lot(self, lot: state.Lot) -> None:
+        """Learn from a lot how far behind its model's engines may be."""
+        target = self.targets.get(lot.model)
+        newest = lot.min_version if target is None else target.version
+        self.allowed_behind[lot.model] = max(0, newest - lot.min_version)
+
     def loads(
         self, engines: abc.Mapping[planning.Life, planning.EngineView]
     ) -> list[LoadVersion]:
         """Return the orders to give now; marks their models as loading."""
         now_ms = self.clock.now_ms()
-        most = max(1, math.floor(LOADING_SHARE * len(engines)))
+        most = max(1, math.ceil(LOADING_SHARE * len(engines)))
         busy = sum(1 for view in engines.values() if view.loading)
         found = []
-        for view, target in self._wanted(engines):
+        for view, target in self._wanted(list(engines.values())):
             if busy >= most:
                 break
             life = view.sampler.life
@@ -65,20 +77,39 @@
         self.retry_at_ms[sampler.life] = self.clock.now_ms() + RETRY_MS
 
     def _wanted(
-        self, engines: abc.Mapping[planning.Life, planning.EngineView]
+        self, engines: abc.Sequence[planning.EngineView]
     ) -> list[tuple[planning.EngineView, state.WeightsTarget]]:
-        """Return what is behind, furthest behind and emptiest first."""
-        rows = [
-            (view, target)
-            for view in engines.values()
-            for target in self.targets.values()
-            if view.versions.get(target.model, target.version)
-            < target.version
-        ]
-        rows.sort(
-            key=lambda row: (
-                row[0].versions[row[1].model] - row[1].version,
-                len(row[0].running),
+        """Return what should load, models with fewest fresh engines first."""
+        rows = []
+        for target in self.targets.values():
+            fresh, behind = self._split(engines, target)
+            allowed = self.allowed_behind.get(target.model, 0)
+            stale = [
+                view
+                for view in behind
+                if target.version - view.versions[target.model] > allowed
+            ]
+            enough = math.ceil(len(engines) / (allowed + 1))
+            missing = max(len(stale), enough - fresh)
+            behind.sort(
+                key=lambda v: (v.versions[target.model], len(v.running))
             )
-        )
-        return rows
+            for place, view in enumerate(behind[:missing]):
+                rows.append((fresh + place, view, target))
+        rows.sort(key=lambda row: row[0])
+        return [(view, target) for _, view, target in rows]
+
+    def _split(
+        self,
+        engines: abc.Sequence[planning.EngineView],
+        target: state.WeightsTarget,
+    ) -> tuple[int, list[planning.EngineView]]:
+        """Return how many have a version or load it, and those behind."""
+        model = target.model
+        behind = [
+            view
+            for view in engines
+            if view.versions.get(model, target.version) < target.version
+            and model not in view.loading
+        ]
+        return len(engines) - len(behind), behind
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import itertools
 
 from poplarloft.coordination.serving import texts
 from poplarloft import state
@@ -24,6 +25,7 @@
     lot_id: str
     item_id: str
     sampler: state.Sampler
+    run_id: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,7 +47,7 @@
     sampler: state.Sampler
     versions: dict[str, int]
     loading: set[str] = dataclasses.field(default_factory=set)
-    running: set[str] = dataclasses.field(default_factory=set)
+    running: set[int] = dataclasses.field(default_factory=set)
     pace_ms: float = FIRST_PACE_MS
     has_pace: bool = False
     failed_at_ms: int = -FAILED_ENGINE_MS
@@ -91,7 +93,7 @@
     ----------
     clock : state.Clock
         Monotonic time.
-    home_region_of : callable
+    is_near : callable
         Tells whether a data centre is in this instance's region.
     """
 
@@ -105,6 +107,8 @@
         self.lots: dict[str, LotPlan] = {}
         self.engines: dict[Life, EngineView] = {}
         self.kept: dict[str, texts.ItemText] = {}
+        self.usable: set[Life] = set()
+        self.run_ids = itertools.count(1)
 
     def add_lot(
         self,
@@ -176,9 +180,10 @@
             if view is None:
                 continue
             text.stage = texts.Stage.RUNNING
-            view.running.add(text.item.id)
+            run_id = next(self.run_ids)
+            view.running.add(run_id)
             found.append(
-                StartItem(plan.lot.id, text.item.id, view.sampler)
+                StartItem(plan.lot.id, text.item.id, view.sampler, run_id)
             )
         return found
 
@@ -205,13 +210,21 @@
     def _take_kept(
         self, lot: state.Lot, route: state.PathRoute, item: state.LotItem
     ) -> texts.ItemText:
+        """Return a kept text if it may go on, else a new one.
+
+        The run of a text that may not go on ends with nobody to take it.
+        """
         text = self.kept.pop(item.id, None)
-        if text is None or text.stage is texts.Stage.FAILED:
+        if (
+            text is None
+            or text.stage is texts.Stage.FAILED
+            or not text.is_allowed(lot.min_version, route.single_version)
+        ):
             return texts.ItemText(item, predict_events(item))
+        if text.stage is texts.Stage.SCORED:
+            if text.item.reward != item.reward:
+                text.stage = texts.Stage.WHOLE
         text.item = item
-        is_allowed = text.is_allowed(lot.min_version, route.single_version)
-        if not is_allowed and text.stage is not texts.Stage.RUNNING:
-            text.restart()
         return text
 
     def _slack_ms(self, plan: LotPlan, text: texts.ItemText) -> float:
--- a/poplarloft/daemon/serving/follower.py
+++ b/poplarloft/daemon/serving/follower.py
@@ -12,7 +12,7 @@
 
 __all__ = ["FollowListener", "PrefixFollower"]
 
-WAIT_MS = 25_000
+WAIT_MS = 8_000  # well under the history that the store keeps
 FIRST_BACKOFF_MS = 200
 MAX_BACKOFF_MS = 1_000
 MS_PER_S = 1_000
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -38,6 +38,7 @@
     text: serving.ItemText
     plan: serving.LotPlan
     view: serving.EngineView
+    run_id: int
     task: asyncio.Task[None] | None = None
 
 
@@ -93,10 +94,18 @@
         )
         self.cancel(start.item_id)
         engine = self.planner.engines[start.sampler.life]
-        run = _Run(text, plan, engine)
+        run = _Run(text, plan, engine, start.run_id)
         self.runs[start.item_id] = run
         run.task = self.task_set.spawn(self._run(run))
 
+    def move_to(self, text: serving.ItemText, plan: serving.LotPlan) -> None:
+        """Let a text's run go on for another lot; end any other run."""
+        run = self.runs.get(text.item.id)
+        if run is not None and run.text is text:
+            run.plan = plan
+        else:
+            self.cancel(text.item.id)
+
     def cancel(self, item_id: str) -> None:
         """Stop an item's run, if there is one."""
         run = self.runs.pop(item_id, None)
@@ -115,7 +124,7 @@
             outcome = str(stopped)
             self._on_stopped(run, stopped)
         finally:
-            view.running.discard(text.item.id)
+            view.running.discard(run.run_id)
             if self.runs.get(text.item.id) is run:
                 del self.runs[text.item.id]
             if text.stage is serving.Stage.RUNNING:
@@ -215,9 +224,8 @@
             async for piece in answer.chunks():
                 events = reader.feed(piece)
                 for event in events:
-                    if event.version is not None:
-                        version = event.version
-                        self._check_version(run, version)
+                    version = event.version or version
+                    self._check_version(run, version)
                     text.append(event.number, event.data, version)
                 if not events:
                     continue
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -24,7 +24,8 @@
 __all__ = ["LotRunner"]
 
 TICK_MS = 200
-KEEP_ENDED_MS = 3_500
+KEEP_RUNS_MS = 3_500  # most trainers ask for the next step by then
+KEEP_REWARDS_MS = 1_500
 MS_PER_S = 1_000
 SAMPLER_PAUSE_MS = 300
 
@@ -90,6 +91,7 @@
         self.listings: dict[str, listing.ResultList] = {}
         self.records: dict[str, state.LotRecord] = {}
         self.ended: set[str] = set()
+        self.scoring: dict[str, asyncio.Task[None]] = {}
         self.is_kicked = False
 
     async def start(self) -> None:
@@ -147,6 +149,8 @@
         configuration = self.operator.configuration
         if configuration is None:
             return
+        for target in self.operator.targets.values():
+            self.weights.planner.name_version(target)
         self._plan_waiting(configuration)
         engines = [
             sampler
@@ -155,8 +159,6 @@
             for sampler in self.known.registry.of_service(service.name)
         ]
         self.planner.see_engines(engines)
-        for target in self.operator.targets.values():
-            self.weights.planner.name_version(target)
         self.weights.give_orders()
         for start in self.planner.starts():
             self.generation.start(start)
@@ -209,6 +211,7 @@
             if lot_id in self.planner.lots or lot_id in self.ended:
                 continue
             record = self.records[lot_id]
+            self.weights.planner.see_lot(record.lot)
             route = configuration.find_route(record.lot.host, record.lot.path)
             if book.book.is_whole or route is None:
                 continue
@@ -221,26 +224,34 @@
             )
             for group in plan.groups.values():
                 for text in group:
-                    self._resume(text)
+                    self._resume(text, plan)
 
-    def _resume(self, text: serving.ItemText) -> None:
-        """Go on with a text kept from an earlier lot."""
-        match text.stage:
-            case serving.Stage.WHOLE:
-                self._on_whole(text)
-            case serving.Stage.SCORED:
-                self._on_result(text)
-            case serving.Stage.WAITING:
-                self.generation.cancel(text.item.id)
+    def _resume(self, text: serving.ItemText, plan: serving.LotPlan) -> None:
+        """Go on with a text, which may be kept from an earlier lot."""
+        self.generation.move_to(text, plan)
+        if text.stage is serving.Stage.WHOLE:
+            self._on_whole(text)
+        elif text.stage is serving.Stage.SCORED:
+            self._on_result(text)
 
     def _on_whole(self, text: serving.ItemText) -> None:
-        if text.item.id not in self.planner.kept:
-            self.task_set.spawn(self._score(text))
+        item_id = text.item.id
+        if item_id in self.planner.kept or item_id in self.scoring:
+            return
+        task = self.task_set.spawn(self._score(text))
+        self.scoring[item_id] = task
+        task.add_done_callback(lambda _: self._on_scored(text, task))
 
     async def _score(self, text: serving.ItemText) -> None:
         await self.rewards.score(text)
         self._on_result(text)
 
+    def _on_scored(
+        self, text: serving.ItemText, task: asyncio.Task[None]
+    ) -> None:
+        if self.scoring.get(text.item.id) is task:
+            del self.scoring[text.item.id]
+
     def _on_result(self, text: serving.ItemText) -> None:
         """List a scored or failed text in the lot that has it open."""
         for plan in self.planner.lots.values():
@@ -265,11 +276,14 @@
         book = self.listings.pop(lot_id, None)
         if book is not None:
             book.close()
+        loop = asyncio.get_running_loop()
         for text in self.planner.end_lot(lot_id):
-            if text.stage is serving.Stage.RUNNING:
-                asyncio.get_running_loop().call_later(
-                    KEEP_ENDED_MS / MS_PER_S, self._stop_kept, text
-                )
+            loop.call_later(
+                KEEP_RUNS_MS / MS_PER_S, self._stop_kept, text
+            )
+            loop.call_later(
+                KEEP_REWARDS_MS / MS_PER_S, self._stop_scoring, text
+            )
         eliot.log_message("lot-stopped", request=lot_id)
         self.kick()
 
@@ -278,6 +292,12 @@
         if self.planner.kept.get(text.item.id) is text:
             self.generation.cancel(text.item.id)
 
+    def _stop_scoring(self, text: serving.ItemText) -> None:
+        if self.planner.kept.get(text.item.id) is text:
+            task = self.scoring.pop(text.item.id, None)
+            if task is not None:
+                task.cancel()
+
     def _give_up_old(self) -> None:
         """Fail the items whose time to live has passed."""
         now_ms = self.clock.now_ms()
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -115,6 +115,7 @@
             for name, value in head.headers
         }
         self.ended = False
+        self.is_closed = False
         connection.heed_keep_alive(self.headers.get("keep-alive", ""))
 
     async def chunks(self) -> abc.AsyncIterator[bytes]:
@@ -138,7 +139,13 @@
         return b"".join([piece async for piece in self.chunks()])
 
     def close(self) -> None:
-        """Return the connection if the body has ended, else close it."""
+        """Return the connection if the body has ended, else close it.
+
+        Further calls do nothing: the connection may serve others then.
+        """
+        if self.is_closed:
+            return
+        self.is_closed = True
         if self.ended:
             self.pool.give_back(self.address, self.connection)
         else:
