Let standbys take over a silent runner and its texts

Now the runner beats every 200 ms to its standbys and copies texts to one of them; silence of 0.7 s lets that one take the key over under its revision. A text moves for a gain of a second only.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -15,6 +15,8 @@
 from poplarloft.coordination.serving.planning import Planner
 from poplarloft.coordination.serving.planning import StartItem
 from poplarloft.coordination.serving.registry import SamplerRegistry
+from poplarloft.coordination.serving.succession import Inheritance
+from poplarloft.coordination.serving.succession import Succession
 from poplarloft.coordination.serving.texts import BrokenOrder
 from poplarloft.coordination.serving.texts import ItemText
 from poplarloft.coordination.serving.texts import Stage
@@ -25,6 +27,7 @@
     "BrokenOrder",
     "EngineView",
     "ExpectedTime",
+    "Inheritance",
     "ItemText",
     "LoadPlanner",
     "LoadVersion",
@@ -34,5 +37,6 @@
     "SamplerRegistry",
     "Stage",
     "StartItem",
+    "Succession",
     "WriteBatch",
 ]
--- a/poplarloft/coordination/serving/balancing.py
+++ b/poplarloft/coordination/serving/balancing.py
@@ -23,7 +23,7 @@
     in_flight: int = 0
     answer_ms: float | None = None
     answered_at_ms: int = 0
-    failed_at_ms: int | None = None
+    doubted_until_ms: int = 0
 
 
 class Balancer(typing.Protocol):
@@ -100,11 +100,12 @@
         before_ms = duration_ms if load.answer_ms is None else load.answer_ms
         load.answer_ms = before_ms + SMOOTHING * (duration_ms - before_ms)
         load.answered_at_ms = self.clock.now_ms()
-        load.failed_at_ms = None
+        load.doubted_until_ms = 0
 
     def on_failure(self, sampler: state.Sampler) -> None:
         """Note a failed request."""
-        self.load_of(sampler).failed_at_ms = self.clock.now_ms()
+        until_ms = self.clock.now_ms() + FAILURE_MEMORY_MS
+        self.load_of(sampler).doubted_until_ms = until_ms
 
     def _typical_ms(self, samplers: abc.Sequence[state.Sampler]) -> float:
         seen = [
@@ -114,9 +115,7 @@
         ]
         return sorted(seen)[len(seen) // 2] if seen else FIRST_GUESS_MS
 
-    def _expected_ms(
-        self, sampler: state.Sampler, typical_ms: float
-    ) -> float:
+    def _expected_ms(self, sampler: state.Sampler, typical_ms: float) -> float:
         load = self.load_of(sampler)
         now_ms = self.clock.now_ms()
         answer_ms = typical_ms
@@ -126,8 +125,6 @@
                 answer_ms = min(answer_ms, typical_ms)
         waiting = load.in_flight / max(1, sampler.slots)
         expected_ms = answer_ms * (1 + waiting)
-        failed_at_ms = load.failed_at_ms
-        if failed_at_ms is not None:
-            if now_ms - failed_at_ms < FAILURE_MEMORY_MS:
-                expected_ms += FAILURE_PENALTY_MS
+        if now_ms < load.doubted_until_ms:
+            expected_ms += FAILURE_PENALTY_MS
         return expected_ms + self.network_ms(sampler.data_centre)
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 
+from poplarloft.coordination.serving import succession
 from poplarloft.coordination.serving import texts
 from poplarloft import state
 
@@ -13,7 +14,8 @@
 PACE_SMOOTHING = 0.1
 STEP_TARGET_MS = 4_000
 FAILED_ENGINE_MS = 2_000
-SLOW_FACTOR = 1.6
+MOVE_GAIN_MS = 1_000.0  # a move costs prefill, a slot's wait, two trips
+MOVE_PACE_SHARE = 0.9
 REGION_COST_MS = 60.0
 Life = tuple[str, int]
 
@@ -107,6 +109,7 @@
         self.lots: dict[str, LotPlan] = {}
         self.engines: dict[Life, EngineView] = {}
         self.kept: dict[str, texts.ItemText] = {}
+        self.inherited: dict[str, succession.Copy] = {}
         self.usable: set[Life] = set()
         self.run_ids = itertools.count(1)
 
@@ -142,6 +145,11 @@
             self.kept[text.item.id] = text
         return kept
 
+    def inherit(self, inheritance: succession.Inheritance) -> None:
+        """Take over the texts of another runner."""
+        self.inherited = dict(inheritance.copies)
+        inheritance.copies.clear()
+
     def drop_kept(self, item_id: str) -> None:
         """Forget a kept text that no lot asked for."""
         self.kept.pop(item_id, None)
@@ -187,21 +195,21 @@
             )
         return found
 
-    def should_move(self, text: texts.ItemText, view: EngineView) -> bool:
+    def should_move(
+        self, plan: LotPlan, text: texts.ItemText, view: EngineView
+    ) -> bool:
         """Tell whether a running text would end earlier elsewhere."""
         others = [
             other.pace_ms
-            for life, other in self.engines.items()
-            if life in self.usable
-            and other is not view
-            and other.has_pace
-            and other.has_room()
+            for other in self._candidates(plan)
+            if other is not view and other.has_pace
         ]
         if not others or not view.has_pace:
             return False
-        gain_ms = text.remaining_events() * (view.pace_ms - min(others))
-        is_slow = view.pace_ms > SLOW_FACTOR * min(others)
-        return is_slow and gain_ms > 2 * REGION_COST_MS
+        best_ms = min(others)
+        gain_ms = text.remaining_events() * (view.pace_ms - best_ms)
+        is_faster = best_ms < MOVE_PACE_SHARE * view.pace_ms
+        return is_faster and gain_ms > MOVE_GAIN_MS
 
     def on_engine_failure(self, view: EngineView) -> None:
         """Note that an engine broke off or refused."""
@@ -215,15 +223,17 @@
         The run of a text that may not go on ends with nobody to take it.
         """
         text = self.kept.pop(item.id, None)
+        if text is None and item.id in self.inherited:
+            text = self.inherited.pop(item.id).to_text(item)
         if (
             text is None
             or text.stage is texts.Stage.FAILED
             or not text.is_allowed(lot.min_version, route.single_version)
         ):
-            return texts.ItemText(item, predict_events(item))
-        if text.stage is texts.Stage.SCORED:
-            if text.item.reward != item.reward:
-                text.stage = texts.Stage.WHOLE
+            return texts.ItemText(item, texts.predict_events(item))
+        has_other_reward = text.item.reward != item.reward
+        if text.stage is texts.Stage.SCORED and has_other_reward:
+            text.stage = texts.Stage.WHOLE
         text.item = item
         return text
 
@@ -234,22 +244,24 @@
     def _best_engine(
         self, plan: LotPlan, text: texts.ItemText
     ) -> EngineView | None:
-        model = plan.lot.model
         now_ms = self.clock.now_ms()
-        candidates = [
+        return min(
+            self._candidates(plan),
+            key=lambda v: self._cost_ms(v, text, now_ms),
+            default=None,
+        )
+
+    def _candidates(self, plan: LotPlan) -> list[EngineView]:
+        """Return the engines that can start an item of a lot now."""
+        model = plan.lot.model
+        return [
             view
             for life, view in self.engines.items()
             if life in self.usable
             and view.has_room()
             and model not in view.loading
             and view.versions.get(model, 0) >= plan.lot.min_version
-            and view.sampler.name != text.avoid
         ]
-        return min(
-            candidates,
-            key=lambda v: self._cost_ms(v, text, now_ms),
-            default=None,
-        )
 
     def _cost_ms(
         self, view: EngineView, text: texts.ItemText, now_ms: int
@@ -261,14 +273,6 @@
             cost_ms += REGION_COST_MS
         if now_ms - view.failed_at_ms < FAILED_ENGINE_MS:
             cost_ms += FAILED_ENGINE_MS
+        if view.sampler.name == text.avoid:
+            cost_ms += FAILED_ENGINE_MS
         return cost_ms
-
-
-def predict_events(item: state.LotItem) -> float:
-    """Return the expected number of events of an item's text."""
-    limit = max(1, item.token_limit - item.prompt_tokens)
-    expected = limit if item.length_hint is None else item.length_hint
-    return max(1.0, min(limit, expected) / TOKENS_PER_EVENT)
-
-
-TOKENS_PER_EVENT = 71
--- a/poplarloft/coordination/serving/texts.py
+++ b/poplarloft/coordination/serving/texts.py
@@ -5,9 +5,10 @@
 
 from poplarloft import state
 
-__all__ = ["BrokenOrder", "ItemText", "Stage"]
+__all__ = ["BrokenOrder", "ItemText", "Stage", "predict_events"]
 
 DEFAULT_EVENTS = 20.0
+TOKENS_PER_EVENT = 71
 OVERRUN = 1.5  # a text longer than predicted is expected to go on so far
 
 
@@ -96,3 +97,10 @@
             tuple(self.versions),
             self.score,
         )
+
+
+def predict_events(item: state.LotItem) -> float:
+    """Return the expected number of events of an item's text."""
+    limit = max(1, item.token_limit - item.prompt_tokens)
+    expected = limit if item.length_hint is None else item.length_hint
+    return max(1.0, min(limit, expected) / TOKENS_PER_EVENT)
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -8,11 +8,13 @@
 from poplarloft.coordination import serving
 from poplarloft.daemon import tasks
 from poplarloft.daemon.serving import runner
+from poplarloft.daemon.serving import standby
 from poplarloft.daemon.serving import tenure
 from poplarloft.platform import documents
 from poplarloft.platform import names
 from poplarloft.platform import store as platform_store
 from poplarloft.protocol import addresses
+from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 from poplarloft.transport import http_client
@@ -46,25 +48,39 @@
             self.client, addresses.parse_address(settings.store)
         )
         self.regions = settings.region_of()
-        incarnation = state.Incarnation(
-            settings.name, self.wall_clock.now_ms()
-        )
-        self.tenure = tenure.Tenure(
-            self.clock, self.store, str(incarnation), self._make_runner
+        self.inheritance = serving.Inheritance(self.clock)
+        self.link = standby.StandbyLink(
+            self.clock,
+            settings.name,
+            serving.Succession(self.clock, settings.name),
+            self.inheritance,
         )
+        self.tenure: tenure.Tenure | None = None
         self.retired: set[str] = set()
 
     async def start(self) -> None:
         """Begin to contend for the duty."""
+        if self.settings.peer_listen is None:
+            raise errors.FieldError("--peer-listen", "expected with bulk")
+        self.link.start(addresses.parse_address(self.settings.peer_listen))
+        me = state.RunnerRecord(
+            self.settings.name, self.wall_clock.now_ms(), self.link.address
+        )
+        self.tenure = tenure.Tenure(
+            self.clock, self.store, me, self.link, self._make_runner
+        )
         self.task_set.spawn(self.tenure.run())
 
     async def stop(self) -> None:
         """Hand the duty on and end."""
-        duty = self.tenure.duty
-        if duty is not None:
-            await duty.stop()
-        await self.tenure.give_up()
+        if self.tenure is not None:
+            duty = self.tenure.duty
+            if duty is not None:
+                self.link.send_beats(duty.fence, duty.open_texts())
+                await duty.stop()
+            await self.tenure.give_up()
         await self.task_set.cancel_all()
+        self.link.close()
         self.client.close()
         eliot.log_message("stopped", store_calls=self.store.calls)
 
@@ -79,6 +95,7 @@
             serving.ExpectedTime(self.clock, self.rng, self._network_ms),
             self._is_near,
             int(self.settings.lot_kept_s * MS_PER_S),
+            self.inheritance,
         )
         made.operator.listeners.append(
             lambda: self._answer_retirements(made.operator.retiring)
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -1,7 +1,5 @@
 """Sends a client's request to an upstream and returns the answer."""
 
-import asyncio
-from collections import abc
 import dataclasses
 import random
 
@@ -104,13 +102,11 @@
             return route.targets[0].service
         return self.rng.choices(route.targets, weights)[0].service
 
-    def _choose(
-        self, service: str, done: _Attempts
-    ) -> state.Sampler | None:
+    def _choose(self, service: str, done: _Attempts) -> state.Sampler | None:
         there = self.known.registry.of_service(service)
-        return self.balancer.choose(
-            there, done.names
-        ) or self.balancer.choose(there, ())
+        return self.balancer.choose(there, done.names) or self.balancer.choose(
+            there, ()
+        )
 
     async def _attempt(
         self,
@@ -180,18 +176,15 @@
             )
             self._note_failure(call, sampler, failure, done)
             return None
-        is_last = len(done.names) >= route.max_attempts
-        if answer.status == SERVER_ERROR and route.is_repeatable:
-            if not is_last:
-                self._note_failure(
-                    call,
-                    sampler,
-                    errors.TransportFailure(
-                        FailureKind.REFUSED_WITHOUT_PROOF, "status 500"
-                    ),
-                    done,
-                )
-                return None
+        may_repeat = (
+            route.is_repeatable and len(done.names) < route.max_attempts
+        )
+        if answer.status == SERVER_ERROR and may_repeat:
+            failure = errors.TransportFailure(
+                FailureKind.REFUSED_WITHOUT_PROOF, "status 500"
+            )
+            self._note_failure(call, sampler, failure, done)
+            return None
         return http.HttpResponse(answer.status, headers, body)
 
     def _note_failure(
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -236,7 +236,7 @@
                 answer.idle_timeout_ms = int(
                     max(MIN_STALL_MS, STALL_PACES * view.pace_ms)
                 )
-                if self.planner.should_move(text, view):
+                if self.planner.should_move(run.plan, text, view):
                     raise _Stopped("moved to a faster engine", False)
         except http_client.AnswerCut as error:
             raise _Stopped(f"cut: {error}") from error
--- a/poplarloft/daemon/serving/listing.py
+++ b/poplarloft/daemon/serving/listing.py
@@ -67,9 +67,7 @@
             match page:
                 case result.Success(state.Page() as found):
                     for entry in found.entries:
-                        self.book.adopt(
-                            lot_records.decode_batch(entry.value)
-                        )
+                        self.book.adopt(lot_records.decode_batch(entry.value))
                     if not found.has_more:
                         return
                 case _:
@@ -92,9 +90,9 @@
     def _flush(self) -> None:
         self.is_timed = False
         self.timer.set(None)
-        if self.writer is None or self.writer.done():
-            if not self.is_closed:
-                self.writer = self.task_set.spawn(self._write())
+        is_writing = self.writer is not None and not self.writer.done()
+        if not is_writing and not self.is_closed:
+            self.writer = self.task_set.spawn(self._write())
 
     async def _write(self) -> None:
         """Write until nothing is pending."""
--- a/poplarloft/daemon/serving/lotdesk.py
+++ b/poplarloft/daemon/serving/lotdesk.py
@@ -169,9 +169,7 @@
             return None
         return _not_ready("the store did not keep the end")
 
-    async def _write_surely(
-        self, puts: list[state.Put]
-    ) -> state.WriteAnswer:
+    async def _write_surely(self, puts: list[state.Put]) -> state.WriteAnswer:
         """Create keys; an unknown outcome is settled by trying again.
 
         Each attempt has the same condition, so a conflict after an
--- a/poplarloft/daemon/serving/rewards.py
+++ b/poplarloft/daemon/serving/rewards.py
@@ -125,9 +125,7 @@
                 detail=detail[:200],
             )
         else:
-            self.balancer.on_answer(
-                sampler, self.clock.now_ms() - started_ms
-            )
+            self.balancer.on_answer(sampler, self.clock.now_ms() - started_ms)
 
     async def _take(
         self,
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -4,7 +4,6 @@
 from collections import abc
 
 import eliot
-from returns import result
 
 from poplarloft.coordination import serving
 from poplarloft.daemon import tasks
@@ -51,6 +50,8 @@
         Tells whether a data centre is in this region.
     kept_ms : int
         Time for which a lot can be read.
+    inheritance : serving.Inheritance
+        Texts of the runner before.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         balancer: serving.ExpectedTime,
         is_near: abc.Callable[[str], bool],
         kept_ms: int,
+        inheritance: serving.Inheritance,
     ) -> None:
         self.clock = clock
         self.wall_clock = wall_clock
@@ -75,6 +77,7 @@
         self.operator = view.OperatorView(names.OPERATOR_PREFIX)
         self.known = view.SamplerView(clock, SAMPLER_PAUSE_MS)
         self.planner = serving.Planner(clock, is_near)
+        self.planner.inherit(inheritance)
         sampler_client = samplers.SamplerClient(client)
         self.rewards = rewards.RewardCaller(
             clock, self.operator, self.known, sampler_client, balancer
@@ -86,13 +89,20 @@
         self.generation.on_failed = self._on_result
         self.generation.on_end = self.kick
         self.weights = weights.WeightOrders(
-            clock, sampler_client, self.planner, self.task_set, name, self
+            clock,
+            sampler_client,
+            self.planner,
+            self.task_set,
+            name,
+            self,
+            self.kick,
         )
         self.listings: dict[str, listing.ResultList] = {}
         self.records: dict[str, state.LotRecord] = {}
         self.ended: set[str] = set()
         self.scoring: dict[str, asyncio.Task[None]] = {}
         self.is_kicked = False
+        self.is_stopped = False
 
     async def start(self) -> None:
         """Follow the store and begin."""
@@ -108,7 +118,8 @@
         self.known.listeners.append(self.kick)
 
     async def stop(self) -> None:
-        """Stop all runs and calls."""
+        """Stop all runs and calls; what ends now starts nothing new."""
+        self.is_stopped = True
         await self.task_set.cancel_all()
 
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
@@ -138,6 +149,16 @@
     def on_regained(self) -> None:
         """Go on with what the store shows next."""
 
+    def open_texts(self) -> abc.Iterator[serving.ItemText]:
+        """Yield the texts that a successor should have."""
+        for plan in self.planner.lots.values():
+            book = self.listings[plan.lot.id].book
+            for group in plan.groups.values():
+                for text in group:
+                    if text.item.id not in book.listed:
+                        yield text
+        yield from self.planner.kept.values()
+
     def kick(self) -> None:
         """Decide anew soon; many calls make one decision."""
         if not self.is_kicked:
@@ -147,7 +168,7 @@
     def _decide(self) -> None:
         self.is_kicked = False
         configuration = self.operator.configuration
-        if configuration is None:
+        if configuration is None or self.is_stopped:
             return
         for target in self.operator.targets.values():
             self.weights.planner.name_version(target)
@@ -203,9 +224,7 @@
         )
         self.kick()
 
-    def _plan_waiting(
-        self, configuration: state.ServingConfiguration
-    ) -> None:
+    def _plan_waiting(self, configuration: state.ServingConfiguration) -> None:
         """Plan the lots that are read but not planned yet."""
         for lot_id, book in self.listings.items():
             if lot_id in self.planner.lots or lot_id in self.ended:
@@ -236,7 +255,9 @@
 
     def _on_whole(self, text: serving.ItemText) -> None:
         item_id = text.item.id
-        if item_id in self.planner.kept or item_id in self.scoring:
+        if self.is_stopped or item_id in self.scoring:
+            return
+        if item_id in self.planner.kept:
             return
         task = self.task_set.spawn(self._score(text))
         self.scoring[item_id] = task
@@ -278,9 +299,7 @@
             book.close()
         loop = asyncio.get_running_loop()
         for text in self.planner.end_lot(lot_id):
-            loop.call_later(
-                KEEP_RUNS_MS / MS_PER_S, self._stop_kept, text
-            )
+            loop.call_later(KEEP_RUNS_MS / MS_PER_S, self._stop_kept, text)
             loop.call_later(
                 KEEP_REWARDS_MS / MS_PER_S, self._stop_scoring, text
             )
--- a/poplarloft/daemon/serving/tenure.py
+++ b/poplarloft/daemon/serving/tenure.py
@@ -7,7 +7,10 @@
 import eliot
 from returns import result
 
+from poplarloft.coordination import serving
+from poplarloft.daemon.serving import standby
 from poplarloft.protocol import lot_records
+from poplarloft.protocol import standby as standby_messages
 from poplarloft import state
 
 __all__ = ["Duty", "Tenure"]
@@ -15,6 +18,7 @@
 LEASE_MS = 2_500
 RENEW_MS = 700
 RETRY_MS = 250
+SILENCE_LOOK_MS = 100
 WAIT_MS = 8_000  # well under the history that the store keeps
 MS_PER_S = 1_000
 FailureKind = state.StoreFailureKind
@@ -33,6 +37,9 @@
     async def stop(self) -> None:
         """End, leaving nothing under way."""
 
+    def open_texts(self) -> abc.Iterable[serving.ItemText]:
+        """Return the texts that a successor should have."""
+
 
 class Tenure:
     """Takes the duty when nobody has it, and gives it up in order.
@@ -47,8 +54,10 @@
         Monotonic time.
     store : state.RevisionStore
         Keeps the holder under a lease.
-    holder : str
-        Name of this start of the daemon.
+    me : state.RunnerRecord
+        This start of the daemon.
+    link : standby.StandbyLink
+        Tells whether the holder lives.
     make_duty : callable
         Returns the duty for a fencing number.
     """
@@ -57,12 +66,15 @@
         self,
         clock: state.Clock,
         store: state.RevisionStore,
-        holder: str,
+        me: state.RunnerRecord,
+        link: standby.StandbyLink,
         make_duty: abc.Callable[[int], Duty],
     ) -> None:
         self.clock = clock
         self.store = store
-        self.holder = holder
+        self.me = me
+        self.link = link
+        self.succession = link.succession
         self.make_duty = make_duty
         self.lease = 0
         self.duty: Duty | None = None
@@ -76,15 +88,14 @@
             if fence is None:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
                 continue
-            eliot.log_message("duty-taken", fence=fence, holder=self.holder)
+            eliot.log_message("duty-taken", fence=fence)
             self.duty = self.make_duty(fence)
             try:
-                await self.duty.start()
-                await self._hold(self.duty)
+                await self._serve(self.duty, fence)
             finally:
                 await self.duty.stop()
                 self.duty = None
-            eliot.log_message("duty-lost", fence=fence, holder=self.holder)
+            eliot.log_message("duty-lost", fence=fence)
 
     async def give_up(self) -> None:
         """End the lease, so that another daemon takes over at once."""
@@ -93,18 +104,68 @@
             await self.store.end_lease(self.lease)
             self.lease = 0
 
+    async def _serve(self, duty: Duty, fence: int) -> None:
+        """Do the duty until the lease is lost or the key is another's."""
+        await duty.start()
+        tasks = {
+            asyncio.ensure_future(self._hold(duty)),
+            asyncio.ensure_future(self._await_other(fence)),
+            asyncio.ensure_future(
+                self.link.beat(lambda: duty.fence, duty.open_texts)
+            ),
+        }
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _take(self) -> int | None:
         """Return the fencing number once the duty is ours."""
+        if not self.may_hold:
+            return None
         found = await self.store.get(lot_records.RUNNER_KEY)
         match found:
-            case result.Failure():
-                return None
+            case result.Success(None):
+                return await self._write_holder(state.ABSENT)
             case result.Success(state.Entry() as entry):
-                await self._await_removal(entry.revision)
-                return None
-        return await self._write_holder()
+                return await self._stand_by(entry)
+        return None
+
+    async def _stand_by(self, entry: state.Entry) -> int | None:
+        """Wait until the key goes, or its holder is taken for dead."""
+        runner = standby_messages.decode_runner(entry.value)
+        self.succession.follow(runner)
+        waits = {
+            asyncio.ensure_future(self._await_change(entry.revision)),
+            asyncio.ensure_future(self._await_silence()),
+        }
+        subscription = asyncio.ensure_future(self.link.subscribe(runner))
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (*waits, subscription):
+                task.cancel()
+            await asyncio.gather(*waits, subscription, return_exceptions=True)
+        if not self.succession.should_take_over():
+            return None
+        eliot.log_message(
+            "runner-silent",
+            runner=runner.name,
+            silent_ms=self.clock.now_ms() - self.succession.heard_at_ms,
+            revision=entry.revision,
+        )
+        return await self._write_holder(entry.revision)
+
+    async def _await_silence(self) -> None:
+        while True:
+            if self.succession.should_take_over():
+                return
+            await asyncio.sleep(SILENCE_LOOK_MS / MS_PER_S)
 
-    async def _await_removal(self, revision: int) -> None:
+    async def _await_change(self, revision: int) -> state.Entry | None:
+        """Return the key's next state, None once it is removed."""
         while True:
             answer = await self.store.watch(
                 lot_records.RUNNER_KEY, revision, WAIT_MS
@@ -112,34 +173,54 @@
             match answer:
                 case result.Success(state.Changes() as found):
                     if found.changes:
-                        return
+                        return found.changes[-1].entry
                     revision = max(revision, found.revision)
-                case _:
+                case result.Failure(state.StoreFailure() as failure):
+                    if failure.kind is FailureKind.COMPACTED:
+                        return None
                     await asyncio.sleep(RETRY_MS / MS_PER_S)
-                    return
 
-    async def _write_holder(self) -> int | None:
-        if not self.may_hold:
-            return None
+    async def _await_other(self, fence: int) -> None:
+        """Return once another daemon has taken the key."""
+        revision = fence
+        while True:
+            entry = await self._await_change(revision)
+            if entry is None:
+                found = await self.store.get(lot_records.RUNNER_KEY)
+                match found:
+                    case result.Success(state.Entry() as present):
+                        entry = present
+                    case _:
+                        await asyncio.sleep(RETRY_MS / MS_PER_S)
+                        continue
+            revision = max(revision, entry.revision)
+            if standby_messages.decode_runner(entry.value) != self.me:
+                self.succession.on_deposed()
+                return
+
+    async def _write_holder(self, revision: int) -> int | None:
+        """Take the key if it is still at `revision`."""
         asked_at_ms = self.clock.now_ms()
         granted = await self.store.grant_lease(LEASE_MS)
         match granted:
             case result.Success(int() as lease):
-                answer = await self._put(lease)
+                fence = await self._put(lease, revision)
             case _:
                 return None
-        if answer is None:
+        if fence is None:
             return None
         self.lease = lease
         self.renewed_at_ms = asked_at_ms
-        return answer
+        return fence
 
-    async def _put(self, lease: int) -> int | None:
+    async def _put(self, lease: int, revision: int) -> int | None:
         """Write the holder's key; settle an unknown outcome by reading."""
         key = lot_records.RUNNER_KEY
-        value = self.holder.encode()
-        put = state.Put(key, value, lease)
-        answer = await self.store.write([state.Expectation(key)], [put])
+        value = standby_messages.encode_runner(self.me)
+        answer = await self.store.write(
+            [state.Expectation(key, revision)],
+            [state.Put(key, value, lease)],
+        )
         if answer.status is Status.APPLIED:
             return answer.revision
         if answer.status is Status.UNKNOWN:
@@ -171,7 +252,7 @@
         """Take the duty again if nobody has it; tell whether it is ours."""
         duty.may_order = False
         while self.may_hold:
-            fence = await self._write_holder()
+            fence = await self._write_holder(state.ABSENT)
             if fence is not None:
                 duty.fence = fence
                 duty.may_order = True
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/view.py
@@ -51,9 +51,7 @@
         if change.entry is not None:
             self._take(change.entry)
         elif change.key.startswith(names.RETIRE_PREFIX):
-            self.retiring.discard(
-                change.key.removeprefix(names.RETIRE_PREFIX)
-            )
+            self.retiring.discard(change.key.removeprefix(names.RETIRE_PREFIX))
         self._tell()
 
     def on_lost(self) -> None:
@@ -80,9 +78,7 @@
                     revision=entry.revision,
                 )
             elif entry.key.startswith(names.RETIRE_PREFIX):
-                self.retiring.add(
-                    entry.key.removeprefix(names.RETIRE_PREFIX)
-                )
+                self.retiring.add(entry.key.removeprefix(names.RETIRE_PREFIX))
         except errors.ProtocolError as error:
             eliot.log_message(
                 "entry-unreadable",
--- a/poplarloft/daemon/serving/weights.py
+++ b/poplarloft/daemon/serving/weights.py
@@ -1,6 +1,7 @@
 """Orders engines to load the versions that trainers name."""
 
 import asyncio
+from collections import abc
 import typing
 
 import eliot
@@ -13,8 +14,8 @@
 __all__ = ["WeightOrders"]
 
 POLL_MS = 150
+FIRST_LOOK_MS = 1_000  # a load and the lag of reports
 LOAD_TIMEOUT_MS = 6_000
-FIRST_LOOK_MS = 900
 MS_PER_S = 1_000
 
 
@@ -42,6 +43,8 @@
         This daemon's name.
     holder : _Holder
         The duty.
+    kick : callable
+        Called when items may be started on an engine again.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         task_set: tasks.TaskSet,
         name: str,
         holder: _Holder,
+        kick: abc.Callable[[], None],
     ) -> None:
         self.clock = clock
         self.client = client
@@ -59,6 +63,7 @@
         self.task_set = task_set
         self.name = name
         self.holder = holder
+        self.kick = kick
         self.planner = serving.LoadPlanner(clock)
         self.orders_accepted: dict[tuple[str, int], int] = {}
 
@@ -84,6 +89,7 @@
             is_done = await self._order(view, target)
         finally:
             view.loading.discard(target.model)
+            self.kick()
             if not is_done:
                 self.planner.on_failed(view.sampler)
             eliot.log_message(
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -177,6 +177,4 @@
     if row.engine is None:
         return state.ServiceInfo(row.name, row.max_conns)
     models = tuple(model.name for model in row.engine.models)
-    return state.ServiceInfo(
-        row.name, row.max_conns, row.engine.slots, models
-    )
+    return state.ServiceInfo(row.name, row.max_conns, row.engine.slots, models)
--- a/poplarloft/platform/ingress.py
+++ b/poplarloft/platform/ingress.py
@@ -126,9 +126,7 @@
     if request.method != "GET":
         return None
     position = _number("after", query.get("after", ["0"])[0])
-    wait_ms = _number(
-        names.WAIT_MS, request.headers.get(names.WAIT_MS, "0")
-    )
+    wait_ms = _number(names.WAIT_MS, request.headers.get(names.WAIT_MS, "0"))
     return ReadLot(lot_id, position, wait_ms)
 
 
@@ -164,7 +162,9 @@
     if page.refusal is not None:
         return refusal_response(page.refusal)
     body = lots.encode_results(page)
-    return http.HttpResponse(200, (("content-type", "application/json"),), body)
+    return http.HttpResponse(
+        200, (("content-type", "application/json"),), body
+    )
 
 
 def plain_response(status: int, body: bytes = b"") -> http.HttpResponse:
--- a/poplarloft/platform/lots.py
+++ b/poplarloft/platform/lots.py
@@ -42,9 +42,7 @@
     group_count: int = 0  # complete groups that the trainer waits for
 
 
-def decode_lot(
-    lot_id: str, host: str, path: str, body: bytes
-) -> state.Lot:
+def decode_lot(lot_id: str, host: str, path: str, body: bytes) -> state.Lot:
     """Return a submitted lot.
 
     Raises
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -54,6 +54,9 @@
     metrics_listen: addresses.AddressText | None = pydantic.Field(
         default=None, description="IP number and port of the metrics page"
     )
+    peer_listen: addresses.AddressText | None = pydantic.Field(
+        default=None, description="IP number and port for other daemons"
+    )
     drain_notice_ms: int = pydantic.Field(
         default=2_500,
         ge=0,
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -75,6 +75,11 @@
 from poplarloft.state.serving import ServingConfiguration
 from poplarloft.state.serving import ServingLimits
 from poplarloft.state.serving import Target
+from poplarloft.state.standby import Beat
+from poplarloft.state.standby import HeldText
+from poplarloft.state.standby import RunnerRecord
+from poplarloft.state.standby import StandbyMessage
+from poplarloft.state.standby import Subscribe
 from poplarloft.state.upstream import LoadReport
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
@@ -92,6 +97,7 @@
     "ABSENT_VERSION",
     "AbsolvedRumour",
     "Address",
+    "Beat",
     "Body",
     "Change",
     "Changes",
@@ -109,6 +115,7 @@
     "HeadAnswer",
     "HeadRequest",
     "HeadRumour",
+    "HeldText",
     "Holdings",
     "Incarnation",
     "ItemState",
@@ -146,6 +153,7 @@
     "RewardCall",
     "RouteBody",
     "Rumour",
+    "RunnerRecord",
     "Sample",
     "Sampler",
     "ServiceInfo",
@@ -153,9 +161,11 @@
     "ServingLimits",
     "Slot",
     "Span",
+    "StandbyMessage",
     "StoreFailure",
     "StoreFailureKind",
     "StrikeRumour",
+    "Subscribe",
     "Target",
     "Upstream",
     "UpstreamKind",
--- a/poplarloft/state/revisions.py
+++ b/poplarloft/state/revisions.py
@@ -134,9 +134,7 @@
 class RevisionStore(typing.Protocol):
     """A linearizable key-value store."""
 
-    async def get(
-        self, key: str
-    ) -> result.Result[Entry | None, StoreFailure]:
+    async def get(self, key: str) -> result.Result[Entry | None, StoreFailure]:
         """Return the entry of `key`, or None."""
 
     async def list_page(
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -343,9 +343,7 @@
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
 
 
