--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -5,6 +5,8 @@
 
 from poplarloft.coordination.serving.balancing import Balancer
 from poplarloft.coordination.serving.balancing import ExpectedTime
+from poplarloft.coordination.serving.copies import CopyPlan
+from poplarloft.coordination.serving.copies import Inheritance
 from poplarloft.coordination.serving.logbook import AdoptBatch
 from poplarloft.coordination.serving.logbook import Logbook
 from poplarloft.coordination.serving.logbook import WriteBatch
@@ -15,7 +17,6 @@
 from poplarloft.coordination.serving.planning import Planner
 from poplarloft.coordination.serving.planning import StartItem
 from poplarloft.coordination.serving.registry import SamplerRegistry
-from poplarloft.coordination.serving.succession import Inheritance
 from poplarloft.coordination.serving.succession import Succession
 from poplarloft.coordination.serving.texts import BrokenOrder
 from poplarloft.coordination.serving.texts import ItemText
@@ -25,6 +26,7 @@
     "AdoptBatch",
     "Balancer",
     "BrokenOrder",
+    "CopyPlan",
     "EngineView",
     "ExpectedTime",
     "Inheritance",
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 
-from poplarloft.coordination.serving import succession
+from poplarloft.coordination.serving import copies
 from poplarloft.coordination.serving import texts
 from poplarloft import state
 
@@ -109,7 +109,7 @@
         self.lots: dict[str, LotPlan] = {}
         self.engines: dict[Life, EngineView] = {}
         self.kept: dict[str, texts.ItemText] = {}
-        self.inherited: dict[str, succession.Copy] = {}
+        self.inherited: dict[str, copies.Copy] = {}
         self.usable: set[Life] = set()
         self.run_ids = itertools.count(1)
 
@@ -145,10 +145,9 @@
             self.kept[text.item.id] = text
         return kept
 
-    def inherit(self, inheritance: succession.Inheritance) -> None:
+    def inherit(self, inheritance: copies.Inheritance) -> None:
         """Take over the texts of another runner."""
         self.inherited = dict(inheritance.copies)
-        inheritance.copies.clear()
 
     def drop_kept(self, item_id: str) -> None:
         """Forget a kept text that no lot asked for."""
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -48,12 +48,10 @@
             self.client, addresses.parse_address(settings.store)
         )
         self.regions = settings.region_of()
-        self.inheritance = serving.Inheritance(self.clock)
         self.link = standby.StandbyLink(
             self.clock,
             settings.name,
             serving.Succession(self.clock, settings.name),
-            self.inheritance,
         )
         self.tenure: tenure.Tenure | None = None
         self.retired: set[str] = set()
@@ -76,7 +74,6 @@
         if self.tenure is not None:
             duty = self.tenure.duty
             if duty is not None:
-                self.link.send_beats(duty.fence, duty.open_texts())
                 await duty.stop()
             await self.tenure.give_up()
         await self.task_set.cancel_all()
@@ -95,7 +92,6 @@
             serving.ExpectedTime(self.clock, self.rng, self._network_ms),
             self._is_near,
             int(self.settings.lot_kept_s * MS_PER_S),
-            self.inheritance,
         )
         made.operator.listeners.append(
             lambda: self._answer_retirements(made.operator.retiring)
--- a/poplarloft/daemon/serving/lotdesk.py
+++ b/poplarloft/daemon/serving/lotdesk.py
@@ -15,6 +15,7 @@
 __all__ = ["LotDesk"]
 
 ACCEPT_TIMEOUT_MS = 4_000
+END_TIMEOUT_MS = 3_000
 WRITE_AGAIN_MS = 100
 RETRY_AFTER_MS = 200
 MAX_WAIT_MS = 1_000
@@ -156,8 +157,7 @@
                     return _unknown(lot_id)
                 case result.Failure(failure):
                     return _not_ready(failure.detail)
-        put = state.Put(lot_records.end_key(lot_id), b"")
-        answer = await self._write_surely([put])
+        answer = await self._write_end(lot_id)
         eliot.log_message(
             "lot-ended",
             request=lot_id,
@@ -165,10 +165,23 @@
             revision=answer.revision,
             detail=answer.detail,
         )
-        if answer.status in (Status.APPLIED, Status.CONFLICT):
+        if answer.status is Status.APPLIED:
             return None
         return _not_ready("the store did not keep the end")
 
+    async def _write_end(self, lot_id: str) -> state.WriteAnswer:
+        """Remove a lot's record; doing so again changes nothing."""
+        end_ms = self.clock.now_ms() + END_TIMEOUT_MS
+        ended = lot_records.ended_key(lot_id, self.wall_clock.now_ms())
+        while True:
+            answer = await self.store.write(
+                [], [state.Put(ended, b"")], [lot_records.lot_key(lot_id)]
+            )
+            is_unknown = answer.status is Status.UNKNOWN
+            if not is_unknown or self.clock.now_ms() >= end_ms:
+                return answer
+            await asyncio.sleep(WRITE_AGAIN_MS / MS_PER_S)
+
     async def _write_surely(self, puts: list[state.Put]) -> state.WriteAnswer:
         """Create keys; an unknown outcome is settled by trying again.
 
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -7,10 +7,12 @@
 
 from poplarloft.coordination import serving
 from poplarloft.daemon import tasks
+from poplarloft.daemon.serving import backup
 from poplarloft.daemon.serving import follower
 from poplarloft.daemon.serving import generation
 from poplarloft.daemon.serving import listing
 from poplarloft.daemon.serving import rewards
+from poplarloft.daemon.serving import sweeping
 from poplarloft.daemon.serving import view
 from poplarloft.daemon.serving import weights
 from poplarloft.platform import names
@@ -50,8 +52,6 @@
         Tells whether a data centre is in this region.
     kept_ms : int
         Time for which a lot can be read.
-    inheritance : serving.Inheritance
-        Texts of the runner before.
     """
 
     def __init__(
@@ -65,19 +65,17 @@
         balancer: serving.ExpectedTime,
         is_near: abc.Callable[[str], bool],
         kept_ms: int,
-        inheritance: serving.Inheritance,
     ) -> None:
         self.clock = clock
         self.wall_clock = wall_clock
         self.store = store
         self.fence = fence
         self.may_order = True
-        self.kept_ms = kept_ms
         self.task_set = tasks.TaskSet()
         self.operator = view.OperatorView(names.OPERATOR_PREFIX)
         self.known = view.SamplerView(clock, SAMPLER_PAUSE_MS)
         self.planner = serving.Planner(clock, is_near)
-        self.planner.inherit(inheritance)
+        self.backup = backup.TextBackup(clock, store, fence, self.open_texts)
         sampler_client = samplers.SamplerClient(client)
         self.rewards = rewards.RewardCaller(
             clock, self.operator, self.known, sampler_client, balancer
@@ -97,25 +95,35 @@
             self,
             self.kick,
         )
+        self.sweeper = sweeping.LotSweeper(wall_clock, store, kept_ms)
         self.listings: dict[str, listing.ResultList] = {}
         self.records: dict[str, state.LotRecord] = {}
         self.ended: set[str] = set()
         self.scoring: dict[str, asyncio.Task[None]] = {}
         self.is_kicked = False
         self.is_stopped = False
+        self.has_inherited = False
 
     async def start(self) -> None:
-        """Follow the store and begin."""
+        """Follow the store and begin.
+
+        All is read at the same time, since each call to a store in
+        another region takes its time; lots wait for the copied texts.
+        """
         self.operator.start(self.store, self.task_set)
         self.known.start(self.store, self.task_set)
-        await self.known.is_listed.wait()
         followed = follower.PrefixFollower(
             self.store, lot_records.LOTS_PREFIX, self
         )
         self.task_set.spawn(followed.run())
+        self.planner.inherit(await self.backup.read())
+        self.has_inherited = True
         self.task_set.spawn(self._tick())
+        self.task_set.spawn(self.backup.run())
+        self.task_set.spawn(self.sweeper.run())
         self.operator.listeners.append(self.kick)
         self.known.listeners.append(self.kick)
+        self.kick()
 
     async def stop(self) -> None:
         """Stop all runs and calls; what ends now starts nothing new."""
@@ -123,22 +131,17 @@
         await self.task_set.cancel_all()
 
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
-        """Take all lots that are kept."""
-        for entry in entries:
-            lot_id, is_end = lot_records.parse_lot_key(entry.key)
-            if is_end:
-                self._end(lot_id)
+        """Take all open lots; those that are missing have ended."""
+        present = {lot_records.parse_lot_key(entry.key) for entry in entries}
+        for lot_id in self.records.keys() - present:
+            self._end(lot_id)
         for entry in entries:
-            lot_id, is_end = lot_records.parse_lot_key(entry.key)
-            if not is_end:
-                self._take_record(lot_id, entry)
+            self._take_record(lot_records.parse_lot_key(entry.key), entry)
 
     def on_change(self, change: state.Change) -> None:
         """Take a new lot or the end of one."""
-        lot_id, is_end = lot_records.parse_lot_key(change.key)
+        lot_id = lot_records.parse_lot_key(change.key)
         if change.entry is None:
-            return
-        if is_end:
             self._end(lot_id)
         else:
             self._take_record(lot_id, change.entry)
@@ -151,7 +154,7 @@
 
     def open_texts(self) -> abc.Iterator[serving.ItemText]:
         """Yield the texts that a successor should have."""
-        for plan in self.planner.lots.values():
+        for plan in list(self.planner.lots.values()):
             book = self.listings[plan.lot.id].book
             for group in plan.groups.values():
                 for text in group:
@@ -168,7 +171,9 @@
     def _decide(self) -> None:
         self.is_kicked = False
         configuration = self.operator.configuration
-        if configuration is None or self.is_stopped:
+        if not self.has_inherited or self.is_stopped:
+            return
+        if configuration is None or not self.known.is_listed.is_set():
             return
         for target in self.operator.targets.values():
             self.weights.planner.name_version(target)
@@ -211,6 +216,8 @@
             self.clock, self.store, lot, self.task_set, self._on_listed
         )
         await book.read()
+        if lot.id in self.ended:
+            return
         self.listings[lot.id] = book
         eliot.log_message(
             "lot-opened",
@@ -294,6 +301,7 @@
         if lot_id in self.ended:
             return
         self.ended.add(lot_id)
+        self.records.pop(lot_id, None)
         book = self.listings.pop(lot_id, None)
         if book is not None:
             book.close()
--- a/poplarloft/daemon/serving/tenure.py
+++ b/poplarloft/daemon/serving/tenure.py
@@ -7,7 +7,6 @@
 import eliot
 from returns import result
 
-from poplarloft.coordination import serving
 from poplarloft.daemon.serving import standby
 from poplarloft.protocol import lot_records
 from poplarloft.protocol import standby as standby_messages
@@ -37,9 +36,6 @@
     async def stop(self) -> None:
         """End, leaving nothing under way."""
 
-    def open_texts(self) -> abc.Iterable[serving.ItemText]:
-        """Return the texts that a successor should have."""
-
 
 class Tenure:
     """Takes the duty when nobody has it, and gives it up in order.
@@ -110,9 +106,7 @@
         tasks = {
             asyncio.ensure_future(self._hold(duty)),
             asyncio.ensure_future(self._await_other(fence)),
-            asyncio.ensure_future(
-                self.link.beat(lambda: duty.fence, duty.open_texts)
-            ),
+            asyncio.ensure_future(self.link.beat(lambda: duty.fence)),
         }
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -9,8 +9,10 @@
 
 __all__ = [
     "BATCHES_PREFIX",
+    "ENDED_PREFIX",
     "LOTS_PREFIX",
     "RUNNER_KEY",
+    "TEXTS_PREFIX",
     "batch_key",
     "batches_prefix",
     "check_lot_id",
@@ -20,21 +22,27 @@
     "encode_batch",
     "encode_head",
     "encode_record",
-    "end_key",
+    "decode_held",
+    "encode_held",
+    "ended_key",
     "head_key",
     "lot_key",
+    "parse_ended_key",
     "parse_lot_key",
+    "texts_key",
 ]
 
 LOTS_PREFIX = "lots/"
 BATCHES_PREFIX = "batches/"
 RUNNER_KEY = "cells/0/runner"
-END_SUFFIX = "/end"
+TEXTS_PREFIX = "texts/"
+ENDED_PREFIX = "ended/"
 LOT_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 HEAD_NUMBER = 0
 
 _RECORD = msgspec.msgpack.Decoder(state.LotRecord)
 _BATCH = msgspec.msgpack.Decoder(tuple[state.LotResult, ...])
+_HELD = msgspec.msgpack.Decoder(tuple[state.HeldText, ...])
 _HEAD = msgspec.msgpack.Decoder(int)
 
 
@@ -52,15 +60,25 @@
     return f"{LOTS_PREFIX}{lot_id}"
 
 
-def end_key(lot_id: str) -> str:
-    """Return the key that tells that a lot was ended."""
-    return f"{LOTS_PREFIX}{lot_id}{END_SUFFIX}"
+def parse_lot_key(key: str) -> str:
+    """Return the lot of a key."""
+    return key.removeprefix(LOTS_PREFIX)
 
 
-def parse_lot_key(key: str) -> tuple[str, bool]:
-    """Return the lot of a key, and whether the key tells of its end."""
-    rest = key.removeprefix(LOTS_PREFIX)
-    return rest.removesuffix(END_SUFFIX), rest.endswith(END_SUFFIX)
+def ended_key(lot_id: str, ended_at_ms: int) -> str:
+    """Return the key that tells when a lot was ended, in time's order."""
+    return f"{ENDED_PREFIX}{ended_at_ms:015d}/{lot_id}"
+
+
+def parse_ended_key(key: str) -> tuple[int, str]:
+    """Return when a lot was ended, and the lot."""
+    time_text, _, lot_id = key.removeprefix(ENDED_PREFIX).partition("/")
+    return int(time_text), lot_id
+
+
+def texts_key(fence: int, number: int) -> str:
+    """Return the key of a copy of texts; they sort in time's order."""
+    return f"{TEXTS_PREFIX}{fence:015d}/{number:06d}"
 
 
 def batches_prefix(lot_id: str) -> str:
@@ -115,3 +133,16 @@
         return _BATCH.decode(value)
     except msgspec.MsgspecError as error:
         raise errors.FieldError("lot batch", str(error)) from error
+
+
+def encode_held(pieces: tuple[state.HeldText, ...]) -> bytes:
+    """Return the value of a copy of texts."""
+    return msgspec.msgpack.encode(pieces)
+
+
+def decode_held(value: bytes) -> tuple[state.HeldText, ...]:
+    """Return the pieces of a copy of texts; raises `FieldError`."""
+    try:
+        return _HELD.decode(value)
+    except msgspec.MsgspecError as error:
+        raise errors.FieldError("copy of texts", str(error)) from error
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -28,6 +28,7 @@
 from poplarloft.state.identity import Address
 from poplarloft.state.identity import Incarnation
 from poplarloft.state.identity import Place
+from poplarloft.state.lots import HeldText
 from poplarloft.state.lots import ItemState
 from poplarloft.state.lots import Lot
 from poplarloft.state.lots import LotItem
@@ -76,7 +77,6 @@
 from poplarloft.state.serving import ServingLimits
 from poplarloft.state.serving import Target
 from poplarloft.state.standby import Beat
-from poplarloft.state.standby import HeldText
 from poplarloft.state.standby import RunnerRecord
 from poplarloft.state.standby import StandbyMessage
 from poplarloft.state.standby import Subscribe
--- a/poplarloft/state/lots.py
+++ b/poplarloft/state/lots.py
@@ -6,6 +6,7 @@
 from poplarloft.state import verdict
 
 __all__ = [
+    "HeldText",
     "ItemState",
     "Lot",
     "LotItem",
@@ -97,6 +98,18 @@
     accepted_at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldText:
+    """New events of an item's text, from `first_event` (from 1) on."""
+
+    item_id: str
+    first_event: int
+    events: tuple[str, ...]
+    versions: tuple[int, ...]
+    is_whole: bool
+    score: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LotResult:
     """One listed result; `versions` generated the events of its text."""
--- a/poplarloft/state/standby.py
+++ b/poplarloft/state/standby.py
@@ -4,7 +4,7 @@
 
 from poplarloft.state import identity
 
-__all__ = ["Beat", "HeldText", "RunnerRecord", "StandbyMessage", "Subscribe"]
+__all__ = ["Beat", "RunnerRecord", "StandbyMessage", "Subscribe"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,34 +28,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Asks the runner for beats and texts; repeated while wanted."""
+    """Asks the runner for beats; repeated while wanted."""
 
     name: str
     address: identity.Address
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeldText:
-    """New events of an item's text, from `first_event` (from 1) on."""
-
-    item_id: str
-    first_event: int
-    events: tuple[str, ...]
-    versions: tuple[int, ...]
-    is_whole: bool
-    score: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Beat:
-    """Shows that the runner lives, and what it has generated.
-
-    `heir` names the standby that gets the texts and takes over first.
-    """
+    """Shows that the runner lives; `heir` should take over first."""
 
     fence: int
     heir: str
-    texts: tuple[HeldText, ...] = ()
 
 
 StandbyMessage = Subscribe | Beat
