--- /dev/null
+++ b/poplarloft/coordination/serving/tests/test_planning.py
@@ -0,0 +1,150 @@
+"""Items on engines, texts of ended lots, loads of weights."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from poplarloft.coordination import serving
+from poplarloft import state
+
+ROUTE = state.PathRoute(
+    "r", "h", "/l/", state.RepeatKind.LOTS, (state.Target("pool"),)
+)
+
+
+def sampler(name, slots=2, version=1, zone="z"):
+    address = state.Address("127.0.0.1", 1)
+    return state.Sampler(
+        name, 1, "pool", address, zone, slots, False, {"m": version}
+    )
+
+
+def lot(items, lot_id="a", min_version=1, events=10):
+    return state.Lot(
+        lot_id,
+        "h",
+        "/l/x",
+        "m",
+        0,
+        min_version,
+        1,
+        tuple(
+            state.LotItem(f"i{n}", "/l/1", (), b"", 71 * length, f"g{n}", 0)
+            for n, length in enumerate(
+                [events] * items if isinstance(items, int) else items
+            )
+        ),
+    )
+
+
+def made(*samplers):
+    clock = state.ManualClock(1_000)
+    planner = serving.Planner(clock, lambda zone: zone == "z")
+    planner.see_engines(samplers)
+    return clock, planner
+
+
+def test_longest_item_starts_first():
+    _, planner = made(sampler("a", slots=1))
+    planner.add_lot(lot([3, 90, 20]), ROUTE, 1_000, ())
+    assert [s.item_id for s in planner.starts()] == ["i1"]
+
+
+@given(st.integers(1, 12), st.integers(1, 4), st.integers(1, 3))
+def test_slots_are_filled_and_never_overfilled(items, slots, engines):
+    _, planner = made(*(sampler(f"e{n}", slots) for n in range(engines)))
+    planner.add_lot(lot(items), ROUTE, 1_000, ())
+    starts = planner.starts()
+    assert len(starts) == min(items, slots * engines)
+    for view in planner.engines.values():
+        assert len(view.running) <= slots
+    assert planner.starts() == []
+
+
+def test_engine_below_the_oldest_version_gets_no_item():
+    _, planner = made(sampler("old", version=1), sampler("new", version=2))
+    planner.add_lot(lot(4, min_version=2), ROUTE, 1_000, ())
+    assert {s.sampler.name for s in planner.starts()} == {"new"}
+
+
+def test_engine_that_loads_gets_no_item_of_that_model():
+    _, planner = made(sampler("a"))
+    planner.engines[("a", 1)].loading.add("m")
+    planner.add_lot(lot(1), ROUTE, 1_000, ())
+    assert planner.starts() == []
+
+
+def test_text_of_an_ended_lot_goes_on_in_the_next():
+    _, planner = made(sampler("a"))
+    plan = planner.add_lot(lot(1), ROUTE, 1_000, ())
+    text = plan.groups["g0"][0]
+    planner.starts()
+    text.append(1, "one", 2)
+    planner.end_lot("a")
+    following = planner.add_lot(lot(1, "b", min_version=2), ROUTE, 2_000, ())
+    assert following.groups["g0"][0] is text
+
+
+def test_text_under_an_older_version_begins_anew():
+    _, planner = made(sampler("a"))
+    plan = planner.add_lot(lot(1), ROUTE, 1_000, ())
+    planner.starts()
+    plan.groups["g0"][0].append(1, "one", 1)
+    planner.end_lot("a")
+    following = planner.add_lot(lot(1, "b", min_version=2), ROUTE, 2_000, ())
+    fresh = following.groups["g0"][0]
+    assert fresh.events == [] and fresh.stage is serving.Stage.WAITING
+
+
+def test_event_out_of_order_is_not_taken():
+    text = serving.ItemText(lot(1).items[0])
+    text.append(1, "one", 1)
+    with pytest.raises(serving.BrokenOrder, match="event 3 after 1"):
+        text.append(3, "three", 1)
+
+
+def loads(planner, loader):
+    return [
+        (load.sampler.name, load.target.version)
+        for load in loader.loads(planner.engines)
+    ]
+
+
+def test_half_of_the_engines_load_when_one_version_behind_is_allowed():
+    clock, planner = made(*(sampler(f"e{n}") for n in range(4)))
+    loader = serving.LoadPlanner(clock)
+    loader.name_version(state.WeightsTarget("m", 2))
+    loader.see_lot(lot(1, min_version=1))
+    found = loads(planner, loader)
+    assert len(found) == 2
+    for view in planner.engines.values():
+        if view.loading:
+            view.versions["m"] = 2
+            view.loading.clear()
+    assert loads(planner, loader) == []
+    loader.name_version(state.WeightsTarget("m", 3))
+    behind = {s for s, _ in loads(planner, loader)}
+    assert behind == {"e0", "e1", "e2", "e3"} - {s for s, _ in found}
+
+
+def test_all_engines_load_when_trainers_want_the_newest():
+    clock, planner = made(*(sampler(f"e{n}") for n in range(5)))
+    loader = serving.LoadPlanner(clock)
+    loader.name_version(state.WeightsTarget("m", 2))
+    loader.see_lot(lot(1, min_version=2))
+    total = set()
+    for _ in range(5):
+        total |= {s for s, _ in loads(planner, loader)}
+        for view in planner.engines.values():
+            if view.loading:
+                view.versions["m"] = 2
+                view.loading.clear()
+    assert len(total) == 5
+
+
+def test_older_version_is_never_ordered():
+    clock, planner = made(sampler("a", version=3))
+    loader = serving.LoadPlanner(clock)
+    loader.name_version(state.WeightsTarget("m", 3))
+    loader.name_version(state.WeightsTarget("m", 2))
+    assert loads(planner, loader) == []
--- /dev/null
+++ b/poplarloft/coordination/serving/tests/test_registry.py
@@ -0,0 +1,62 @@
+"""Announcements of upstreams, lapses and news from before."""
+
+from poplarloft.coordination import serving
+from poplarloft import state
+
+
+def sampler(name="a", born_ms=1, is_leaving=False):
+    address = state.Address("127.0.0.1", 1)
+    return state.Sampler(
+        name, born_ms, "pool", address, "z", 4, is_leaving, {"m": 1}
+    )
+
+
+def made():
+    clock = state.ManualClock()
+    registry = serving.SamplerRegistry(clock)
+    registry.on_store_regained()
+    clock.advance(10_000)
+    registry.announce(sampler())
+    return clock, registry
+
+
+def test_removed_in_quiet_times_is_gone_at_once():
+    _, registry = made()
+    registry.remove("a")
+    assert registry.of_service("pool") == []
+
+
+def test_lapsed_around_an_outage_stays_for_a_while():
+    clock, registry = made()
+    registry.on_store_lost()
+    registry.on_store_regained()
+    registry.remove("a")
+    assert [s.name for s in registry.of_service("pool")] == ["a"]
+    clock.advance(2_000)
+    assert registry.of_service("pool")
+    clock.advance(600)
+    assert registry.of_service("pool") == []
+
+
+def test_leaving_gets_nothing_and_does_not_lapse():
+    _, registry = made()
+    registry.announce(sampler(is_leaving=True))
+    assert registry.of_service("pool") == []
+    registry.on_store_lost()
+    registry.remove("a")
+    assert registry.of_service("pool") == []
+
+
+def test_another_start_is_another_upstream():
+    _, registry = made()
+    before = registry.known["a"]
+    registry.announce(sampler(born_ms=2))
+    assert not registry.is_current(before)
+    assert registry.is_current(sampler(born_ms=2))
+
+
+def test_listing_drops_what_it_does_not_name():
+    _, registry = made()
+    registry.announce(sampler("b"))
+    assert registry.keep_only({"b"}) == ["a"]
+    assert [s.name for s in registry.of_service("pool")] == ["b"]
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -6,10 +6,10 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon import tasks
 from poplarloft.daemon.serving import runner
 from poplarloft.daemon.serving import standby
 from poplarloft.daemon.serving import tenure
+from poplarloft.daemon import tasks
 from poplarloft.platform import documents
 from poplarloft.platform import names
 from poplarloft.platform import store as platform_store
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -7,10 +7,10 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon import tasks
 from poplarloft.daemon.serving import forwarding
 from poplarloft.daemon.serving import lotdesk
 from poplarloft.daemon.serving import view
+from poplarloft.daemon import tasks
 from poplarloft.platform import ingress
 from poplarloft.platform import lots
 from poplarloft.platform import samplers
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -6,7 +6,6 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon import tasks
 from poplarloft.daemon.serving import backup
 from poplarloft.daemon.serving import follower
 from poplarloft.daemon.serving import generation
@@ -15,6 +14,7 @@
 from poplarloft.daemon.serving import sweeping
 from poplarloft.daemon.serving import view
 from poplarloft.daemon.serving import weights
+from poplarloft.daemon import tasks
 from poplarloft.platform import names
 from poplarloft.platform import samplers
 from poplarloft.protocol import errors
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/view.py
@@ -6,8 +6,8 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon import tasks
 from poplarloft.daemon.serving import follower
+from poplarloft.daemon import tasks
 from poplarloft.platform import documents
 from poplarloft.platform import names
 from poplarloft.protocol import errors
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -97,7 +97,9 @@
         path = rest[at + 1] if at + 1 < len(rest) else None
         del rest[at : at + 2]
     try:
-        return ServingSettings(_cli_parse_args=rest, _env_file=path)  # type: ignore
+        return ServingSettings(  # type: ignore[call-arg]
+            _cli_parse_args=rest, _env_file=path
+        )
     except pydantic.ValidationError as error:
         failure = errors.first_field_error(error)
         flag = "--" + failure.field.partition(".")[0].replace("_", "-")
--- /dev/null
+++ b/standins/sampler.py
@@ -0,0 +1,177 @@
+"""Stand-ins of the platform's samplers: engines and plain services."""
+
+import asyncio
+from collections import abc
+import typing
+
+import msgspec
+
+from poplarloft.protocol import http
+from poplarloft import state
+from poplarloft.transport import http_server
+
+__all__ = ["SamplerStandin"]
+
+MS_PER_S = 1_000
+
+
+class SamplerStandin:
+    """One upstream; writes down all that it runs.
+
+    Parameters
+    ----------
+    name : str
+        Its identifier.
+    slots : int
+        Requests that run at once; further ones are refused unrun.
+    event_ms : float
+        Time between two events of a text.
+
+    Attributes
+    ----------
+    runs : list of str
+        Identifiers of requests that began to run.
+    breaks_after : int or None
+        The next text is broken off after so many events.
+    failing : int
+        So many of the next requests get a status 500.
+    """
+
+    def __init__(
+        self, name: str, slots: int = 4, event_ms: float = 1.0
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.event_ms = event_ms
+        self.running = 0
+        self.runs: list[str] = []
+        self.resumed: list[tuple[str, int]] = []
+        self.versions = {"m": 1}
+        self.orders: list[dict[str, object]] = []
+        self.fence = 0
+        self.breaks_after: int | None = None
+        self.failing = 0
+        self.silent = False
+        self.server = http_server.HttpServer(
+            self._handle,
+            http_server.ServerLimits(),
+            lambda path: 1_000_000,
+            cancels=True,
+        )
+        self.address = state.Address("127.0.0.1", 0)
+
+    async def start(self) -> state.Address:
+        """Listen on a free port; return it."""
+        self.address = await self.server.start(self.address)
+        return self.address
+
+    async def stop(self) -> None:
+        """Stop at once, cutting what runs."""
+        await self.server.drain(0)
+
+    def announcement(self, service: str, is_leaving: bool = False) -> bytes:
+        """Return the entry that it writes to the store."""
+        models = [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in self.versions.items()
+        ]
+        return msgspec.json.encode(
+            {
+                "service": service,
+                "address": str(self.address),
+                "zone": "z",
+                "version": "v1",
+                "slots": self.slots,
+                "state": "draining" if is_leaving else "ready",
+                "cold_left_ms": 0,
+                "born": 1,
+                "models": models,
+                "sequence": len(self.orders),
+            }
+        )
+
+    async def _handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        expected = request.headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            return http.HttpResponse(421, (("X-Instance-Id", self.name),))
+        if request.path == "/poplarloft/report":
+            return self._report()
+        if request.path == "/poplarloft/order":
+            return self._order(msgspec.json.decode(request.body))
+        if self.running >= self.slots:
+            return http.HttpResponse(503, (("X-Not-Run", "1"),))
+        return await self._run(request)
+
+    async def _run(self, request: http.HttpRequest) -> http.HttpResponse:
+        request_id = request.headers.get("x-request-id", "")
+        self.runs.append(request_id)
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.failing > 0:
+            self.failing -= 1
+            return http.HttpResponse(500, (("X-Request-Id", request_id),))
+        headers = (
+            ("X-Request-Id", request_id),
+            ("X-Server-Stamp", f"{self.name}.{request_id}"),
+        )
+        counts = request.headers.get("x-token-counts")
+        if counts is None:
+            body = b"answer to " + request.body
+            return http.HttpResponse(200, headers, body)
+        count = int(counts.split(",")[1]) // 71
+        held = int(request.headers.get("last-event-id", "0"))
+        if held:
+            self.resumed.append((request_id, held))
+        version = str(self.versions[request.headers["x-model"]])
+        return http.HttpResponse(
+            200,
+            (
+                *headers,
+                ("X-Weight-Versions", version),
+                ("Content-Type", "text/event-stream"),
+            ),
+            self._events(request_id, held, count),
+        )
+
+    async def _events(
+        self, request_id: str, held: int, count: int
+    ) -> abc.AsyncIterator[bytes]:
+        self.running += 1
+        breaks_after, self.breaks_after = self.breaks_after, None
+        try:
+            for number in range(held + 1, count + 1):
+                if breaks_after is not None and number > held + breaks_after:
+                    raise ConnectionResetError("broken off on demand")
+                await asyncio.sleep(self.event_ms / MS_PER_S)
+                yield f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+        finally:
+            self.running -= 1
+
+    def _report(self) -> http.HttpResponse:
+        models = [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in self.versions.items()
+        ]
+        return _json(
+            {
+                "stage": "prefill_decode",
+                "models": models,
+                "busy": False,
+                "sequence": len(self.orders),
+            }
+        )
+
+    def _order(self, order: dict[str, typing.Any]) -> http.HttpResponse:
+        if order["fence"] < self.fence:
+            return http.HttpResponse(412)
+        if order.get("expected", len(self.orders)) != len(self.orders):
+            return http.HttpResponse(409)
+        self.fence = order["fence"]
+        self.orders.append(order)
+        self.versions[order["model"]] = order["version"]
+        return http.HttpResponse(202)
+
+
+def _json(body: object) -> http.HttpResponse:
+    headers = (("content-type", "application/json"),)
+    return http.HttpResponse(200, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/tests/serving_fleet.py
@@ -0,0 +1,248 @@
+"""A platform of stand-ins and daemons of both duties in one loop."""
+
+import asyncio
+import base64
+import json
+
+from poplarloft.daemon.serving import bulk
+from poplarloft.daemon.serving import entry
+from poplarloft.protocol import serving_settings
+from poplarloft import state
+from poplarloft.transport import http_client
+from standins import revision_store
+from standins import sampler
+
+HOST = "h.example"
+SHORT_MS = 1.0
+
+
+def configuration(version=1, attempts=3, target_ms=5_000):
+    """Return the operator's document for one engine and one service."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "name": "plain",
+                    "host": HOST,
+                    "prefix": "/p/",
+                    "kind": "idempotent",
+                    "timeout_ms": target_ms,
+                    "slo_ms": 300,
+                    "service": "app",
+                    "max_attempts": attempts,
+                },
+                {
+                    "name": "once",
+                    "host": HOST,
+                    "prefix": "/once/",
+                    "kind": "non_idempotent",
+                    "timeout_ms": target_ms,
+                    "slo_ms": 300,
+                    "service": "app",
+                    "max_attempts": attempts,
+                },
+                {
+                    "name": "lots",
+                    "host": HOST,
+                    "prefix": "/l/",
+                    "kind": "rollout",
+                    "timeout_ms": 10_000,
+                    "slo_ms": 400,
+                    "service": "pool",
+                    "max_attempts": attempts,
+                    "due_ms": 7_500,
+                    "item_ttl_s": 40,
+                },
+            ],
+            "services": [
+                {"name": "app", "max_conns": 50},
+                {
+                    "name": "pool",
+                    "max_conns": 50,
+                    "engine": {"slots": 4, "models": [{"name": "m"}]},
+                },
+            ],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 1_000_000,
+                "header_timeout_ms": 3_000,
+                "idle_timeout_ms": 15_000,
+            },
+        }
+    ).encode()
+
+
+def lot_body(items, groups=1, events=10, min_version=1, wanted=1):
+    """Return a lot of `items` items in `groups` groups."""
+    return json.dumps(
+        {
+            "step": 0,
+            "model": "m",
+            "min_version": min_version,
+            "group_count": wanted,
+            "items": [
+                {
+                    "id": f"item-{n}",
+                    "path": f"/l/{n}",
+                    "headers": {
+                        "X-Model": "m",
+                        "X-Token-Counts": f"10,{71 * events}",
+                    },
+                    "body": base64.b64encode(b"prompt %d" % n).decode(),
+                    "tokens": 10 + 71 * events,
+                    "group": f"g{n % groups}",
+                    "scorer": {
+                        "id": f"reward-{n}",
+                        "host": HOST,
+                        "path": "/p/score",
+                        "body": "",
+                    },
+                }
+                for n in range(items)
+            ],
+        }
+    ).encode()
+
+
+class Fleet:
+    """The stand-ins, and any number of daemons."""
+
+    def __init__(self):
+        self.store = revision_store.RevisionStoreStandin()
+        self.engines = [sampler.SamplerStandin(f"e{n}") for n in range(2)]
+        self.services = [sampler.SamplerStandin(f"s{n}") for n in range(2)]
+        self.entries = []
+        self.bulks = []
+        self.client = http_client.HttpClient()
+
+    async def start(self, entries=1, bulks=1):
+        """Start everything and wait until it is ready."""
+        self.store_address = await self.store.start()
+        for upstream in (*self.engines, *self.services):
+            await upstream.start()
+            await self.announce(upstream)
+        await self.store.put("op/config", configuration())
+        for n in range(bulks):
+            await self.add_bulk(f"bulk-{n}")
+        for n in range(entries):
+            await self.add_entry(f"entry-{n}")
+
+    async def announce(self, upstream, is_leaving=False):
+        """Write an upstream's entry."""
+        service = "pool" if upstream in self.engines else "app"
+        await self.store.put(
+            f"servers/{upstream.name}",
+            upstream.announcement(service, is_leaving),
+        )
+
+    async def add_bulk(self, name):
+        """Start a daemon that runs lots."""
+        daemon = bulk.BulkDaemon(self._settings(name, "bulk"))
+        await daemon.start()
+        self.bulks.append(daemon)
+        return daemon
+
+    async def add_entry(self, name, store=None):
+        """Start a daemon for clients; return it when it is ready."""
+        daemon = entry.EntryDaemon(self._settings(name, "entry", store))
+        await daemon.start()
+        self.entries.append(daemon)
+        await eventually(lambda: daemon.is_ready)
+        return daemon
+
+    async def kill(self, daemon):
+        """End a daemon as a crash would."""
+        if isinstance(daemon, entry.EntryDaemon):
+            await daemon.front.drain(0)
+            await daemon.readiness.drain(0)
+        await daemon.task_set.cancel_all()
+        duty = getattr(getattr(daemon, "tenure", None), "duty", None)
+        if duty is not None:
+            await duty.stop()
+        if isinstance(daemon, bulk.BulkDaemon):
+            daemon.link.close()
+        daemon.client.close()
+        for daemons in (self.entries, self.bulks):
+            if daemon in daemons:
+                daemons.remove(daemon)
+
+    async def stop(self):
+        """End everything."""
+        for daemon in (*self.entries, *self.bulks):
+            await self.kill(daemon)
+        for upstream in (*self.engines, *self.services):
+            await upstream.stop()
+        await self.store.stop()
+        self.client.close()
+
+    async def call(
+        self, method, target, body=b"", headers=(), daemon=None, timeout=5_000
+    ):
+        """Return status, headers and body of a daemon's answer."""
+        daemon = daemon or self.entries[0]
+        port = daemon.front.server.sockets[0].getsockname()[1]
+        sent = await self.client.send(
+            state.Address("127.0.0.1", port),
+            method,
+            target,
+            (("host", HOST), *headers),
+            body,
+            timeout,
+        )
+        answer = sent.unwrap()
+        return answer.status, answer.headers, await answer.read()
+
+    async def submit(self, lot_id, body, daemon=None):
+        """Submit a lot; return the status."""
+        headers = (("x-request-id", lot_id),)
+        status, _, _ = await self.call("POST", "/l/x", body, headers, daemon)
+        return status
+
+    async def read(self, lot_id, after=0, daemon=None):
+        """Return status and document of a lot's results."""
+        status, _, body = await self.call(
+            "GET",
+            f"/poplarloft/lots/{lot_id}?after={after}",
+            headers=(("x-wait-ms", "300"),),
+            daemon=daemon,
+        )
+        return status, json.loads(body) if status == 200 else None
+
+    async def read_all(self, lot_id, timeout_s=15, daemon=None):
+        """Return all results of a lot, in their order."""
+        results = []
+        async with asyncio.timeout(timeout_s):
+            while True:
+                status, page = await self.read(lot_id, len(results), daemon)
+                if status == 200:
+                    results += page["results"]
+                    if len(results) >= page["total"]:
+                        return results
+                else:
+                    await asyncio.sleep(0.05)
+
+    def _settings(self, name, duty, store=None):
+        arguments = [
+            f"--name={name}",
+            f"--duty={duty}",
+            "--region=r",
+            "--data-centre=z",
+            f"--store={store or self.store_address}",
+            "--drain-notice-ms=50",
+        ]
+        if duty == "entry":
+            arguments += [
+                "--listen=127.0.0.1:0",
+                "--ready-listen=127.0.0.1:0",
+            ]
+        else:
+            arguments.append("--peer-listen=127.0.0.1:0")
+        return serving_settings.load_serving_settings(arguments)
+
+
+async def eventually(predicate, timeout_s=10):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not predicate():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_serving_lots.py
@@ -0,0 +1,177 @@
+"""Lots end to end on stand-ins: faults of the store, engines, daemons."""
+
+import asyncio
+
+import pytest
+
+from tests import serving_fleet
+
+
+@pytest.fixture
+async def fleet():
+    made = serving_fleet.Fleet()
+    yield made
+    await made.stop()
+
+
+def check_whole(results, items, events):
+    """Check that each item stands once, whole and scored."""
+    assert sorted(r["id"] for r in results) == sorted(
+        f"item-{n}" for n in range(items)
+    )
+    for row in results:
+        assert row["state"] == "completed"
+        expected = [f"{row['id']}-{n}" for n in range(1, events + 1)]
+        assert row["text"].split("\n") == expected
+        number = row["id"].partition("-")[2]
+        assert row["score"].endswith(f".reward-{number}")
+
+
+async def test_lot_is_generated_scored_read_and_ended(fleet):
+    await fleet.start(entries=2)
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(6)) == 202
+    results = await fleet.read_all("lot-a", daemon=fleet.entries[1])
+    check_whole(results, 6, 10)
+    assert all(row["versions"] == [1] for row in results)
+    status, _, body = await fleet.call(
+        "GET", "/poplarloft/items/lot-a?id=item-3"
+    )
+    assert (status, body) == (200, b"prompt 3")
+    for daemon in fleet.entries:
+        status, _, _ = await fleet.call(
+            "DELETE", "/poplarloft/lots/lot-a", daemon=daemon
+        )
+        assert status == 200
+    assert await fleet.read_all("lot-a") == results
+
+
+async def test_same_lot_is_accepted_once(fleet):
+    await fleet.start(entries=2)
+    body = serving_fleet.lot_body(4)
+    for daemon in (*fleet.entries, *fleet.entries):
+        assert await fleet.submit("lot-a", body, daemon) == 202
+    check_whole(await fleet.read_all("lot-a"), 4, 10)
+    await fleet.call("DELETE", "/poplarloft/lots/lot-a")
+    ran = sum(len(engine.runs) for engine in fleet.engines)
+    assert await fleet.submit("lot-a", body) == 202
+    await asyncio.sleep(0.3)
+    assert sum(len(engine.runs) for engine in fleet.engines) == ran
+
+
+async def test_unknown_lot_is_404_and_doubt_is_503(fleet):
+    await fleet.start()
+    assert (await fleet.read("nothing"))[0] == 404
+    fleet.store.is_down = True
+    assert (await fleet.read("nothing"))[0] == 503
+    status, _, _ = await fleet.call("DELETE", "/poplarloft/lots/nothing")
+    assert status == 503
+
+
+async def test_refused_lot_never_runs(fleet):
+    await fleet.start()
+    fleet.store.is_down = True
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(2)) == 503
+    fleet.store.is_down = False
+    await asyncio.sleep(0.5)
+    assert not any(engine.runs for engine in fleet.engines)
+    assert (await fleet.read("lot-a"))[0] == 404
+
+
+@pytest.mark.parametrize("fault", ["lost_writes", "late_writes"])
+async def test_lost_answers_of_the_store_lose_and_double_nothing(fleet, fault):
+    await fleet.start()
+    setattr(fleet.store, fault, 1)
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(6)) == 202
+    setattr(fleet.store, fault, 2)
+    check_whole(await fleet.read_all("lot-a"), 6, 10)
+
+
+async def test_broken_text_goes_on_at_its_next_event(fleet):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.breaks_after = 5
+    await fleet.submit("lot-a", serving_fleet.lot_body(4, events=30))
+    check_whole(await fleet.read_all("lot-a"), 4, 30)
+    resumed = [row for engine in fleet.engines for row in engine.resumed]
+    assert resumed and all(held == 5 for _, held in resumed)
+
+
+async def test_item_that_fails_each_time_is_given_up(fleet):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.failing = 3
+    await fleet.submit("lot-a", serving_fleet.lot_body(1))
+    results = await fleet.read_all("lot-a")
+    assert [row["state"] for row in results] == ["down"]
+    assert sum(len(engine.runs) for engine in fleet.engines) == 3
+
+
+async def test_runner_that_dies_is_followed_with_its_texts(fleet):
+    await fleet.start(bulks=2)
+    for engine in fleet.engines:
+        engine.event_ms = 30
+    await serving_fleet.eventually(
+        lambda: any(d.tenure.duty for d in fleet.bulks)
+    )
+    await fleet.submit("lot-a", serving_fleet.lot_body(2, events=100))
+    await asyncio.sleep(2)
+    dying = next(d for d in fleet.bulks if d.tenure.duty)
+    await fleet.kill(dying)
+    check_whole(await fleet.read_all("lot-a"), 2, 100)
+    resumed = [held for e in fleet.engines for _, held in e.resumed]
+    assert resumed and max(resumed) >= 20
+
+
+async def test_orders_carry_fence_and_count(fleet):
+    await fleet.start()
+    await fleet.store.put("op/version/m", b'{"model":"m","version":2}')
+    await serving_fleet.eventually(
+        lambda: all(e.versions["m"] == 2 for e in fleet.engines)
+    )
+    for engine in fleet.engines:
+        assert [order["expected"] for order in engine.orders] == [0]
+        assert engine.orders[0]["holder"] == "bulk-0"
+
+
+async def test_texts_below_the_oldest_version_are_not_taken(fleet):
+    await fleet.start()
+    await fleet.store.put("op/version/m", b'{"model":"m","version":2}')
+    body = serving_fleet.lot_body(4, min_version=2)
+    await fleet.submit("lot-a", body)
+    results = await fleet.read_all("lot-a")
+    assert all(row["versions"] == [2] for row in results)
+
+
+async def test_ended_lot_starts_nothing_more(fleet):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.event_ms = 50
+    await fleet.submit("lot-a", serving_fleet.lot_body(30, events=20))
+    await asyncio.sleep(0.3)
+    status, _, _ = await fleet.call("DELETE", "/poplarloft/lots/lot-a")
+    assert status == 200
+    await asyncio.sleep(0.3)
+    ran = [list(engine.runs) for engine in fleet.engines]
+    await asyncio.sleep(1)
+    assert [list(engine.runs) for engine in fleet.engines] == ran
+
+
+async def test_lost_history_of_the_store_is_listed_again(fleet):
+    await fleet.start()
+    fleet.store.forget_history()
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(2)) == 202
+    fleet.store.forget_history()
+    check_whole(await fleet.read_all("lot-a"), 2, 10)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{}", b'{"items":[]}', b'{"items":[{"id":1}]}', b"\xff\xfe"],
+)
+async def test_malformed_lot_is_refused_with_its_reason(fleet, body):
+    await fleet.start()
+    status, _, answer = await fleet.call(
+        "POST", "/l/x", body, (("x-request-id", "lot-a"),)
+    )
+    assert status == 400
+    assert b"lot" in answer or b"items" in answer
--- /dev/null
+++ b/tests/test_serving_requests.py
@@ -0,0 +1,132 @@
+"""Single requests end to end on stand-ins."""
+
+import asyncio
+
+import pytest
+
+from tests import serving_fleet
+
+
+@pytest.fixture
+async def fleet():
+    made = serving_fleet.Fleet()
+    await made.start()
+    yield made
+    await made.stop()
+
+
+async def post(fleet, path, request_id="r1", deadline=2_000):
+    return await fleet.call(
+        "POST",
+        path,
+        b"body",
+        (("x-request-id", request_id), ("x-deadline-ms", str(deadline))),
+    )
+
+
+def runs(fleet):
+    return [run for service in fleet.services for run in service.runs]
+
+
+async def test_answer_comes_with_its_signature(fleet):
+    status, headers, body = await post(fleet, "/p/1")
+    assert (status, body) == (200, b"answer to body")
+    assert headers["x-server-stamp"].endswith(".r1")
+
+
+async def test_unknown_route_is_404_only_under_a_configuration(fleet):
+    assert (await post(fleet, "/nowhere/1"))[0] == 404
+    blind = await fleet.add_entry("entry-1")
+    blind.operator.configuration = None
+    status, _, _ = await fleet.call("POST", "/p/1", daemon=blind)
+    assert status == 503
+
+
+async def test_idempotent_request_is_tried_elsewhere(fleet):
+    for service in fleet.services:
+        service.failing = 1
+    assert (await post(fleet, "/p/1"))[0] == 200
+    assert runs(fleet).count("r1") == 3
+
+
+async def test_other_request_runs_once_and_is_not_called_unrun(fleet):
+    for service in fleet.services:
+        service.silent = True
+    status, _, _ = await post(fleet, "/once/1", deadline=200)
+    assert status in (502, 504)
+    assert runs(fleet) == ["r1"]
+
+
+async def test_refusal_that_says_not_run_is_true(fleet):
+    for service in fleet.services:
+        service.slots = 0
+    status, headers, _ = await post(fleet, "/once/1")
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert runs(fleet) == []
+
+
+async def test_leaving_upstream_gets_nothing_new(fleet):
+    leaving, staying = fleet.services
+    await fleet.announce(leaving, is_leaving=True)
+    known = fleet.entries[0].samplers.registry
+    await serving_fleet.eventually(lambda: known.known["s0"].is_leaving)
+    for number in range(5):
+        assert (await post(fleet, "/p/1", f"r{number}"))[0] == 200
+    assert leaving.runs == []
+    assert len(staying.runs) == 5
+
+
+async def test_reused_address_refuses_another_name(fleet):
+    moved, staying = fleet.services
+    moved.name = "another"
+    for number in range(4):
+        assert (await post(fleet, "/p/1", f"r{number}"))[0] == 200
+    assert moved.runs == []
+
+
+async def test_client_that_leaves_ends_the_work(fleet):
+    for service in fleet.services:
+        service.silent = True
+    call = asyncio.create_task(post(fleet, "/p/1", deadline=5_000))
+    await serving_fleet.eventually(lambda: runs(fleet) == ["r1"])
+    call.cancel()
+    await serving_fleet.eventually(
+        lambda: not any(s.server.sessions for s in fleet.services)
+    )
+
+
+async def test_unreadable_entries_name_no_upstream(fleet):
+    await fleet.store.put("servers/bad", b'{"service": "app"}')
+    await fleet.store.put("servers/worse", b"\xff")
+    await fleet.store.put("op/config", b'{"version": "x"}')
+    await asyncio.sleep(0.2)
+    assert (await post(fleet, "/p/1"))[0] == 200
+    known = fleet.entries[0].samplers.registry.known
+    assert set(known) == {"e0", "e1", "s0", "s1"}
+
+
+async def test_older_configuration_is_not_taken(fleet):
+    await fleet.store.put("op/config", serving_fleet.configuration(5))
+    operator = fleet.entries[0].operator
+    await serving_fleet.eventually(lambda: operator.configuration.version == 5)
+    await fleet.store.put("op/config", serving_fleet.configuration(4))
+    await asyncio.sleep(0.2)
+    assert operator.configuration.version == 5
+
+
+async def test_stop_answers_what_is_in_flight(fleet):
+    for service in fleet.services:
+        service.silent = True
+    call = asyncio.create_task(post(fleet, "/p/1", deadline=600))
+    await serving_fleet.eventually(lambda: runs(fleet) == ["r1"])
+    await fleet.entries[0].stop()
+    status, _, _ = await call
+    assert status == 504
+    fleet.entries.clear()
+
+
+async def test_store_outage_leaves_requests_served(fleet):
+    fleet.store.is_down = True
+    await asyncio.sleep(0.3)
+    assert (await post(fleet, "/p/1"))[0] == 200
