Carry store calls for peers that it turns away

Each daemon writes where it carries calls; a call that was surely not done, or a read without answer, goes through a peer; when no way answers the store is taken for away for 0.7 s, since refused calls are priced.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,9 +4,14 @@
 stamp=target/deps/.installed
 [ -e "$stamp" ] && [ "$stamp" -nt pyproject.toml ] && exit 0
 rm -rf target/deps
+mkdir -p target
+python3 - > target/requirements.txt <<'END'
+import tomllib
+
+with open("pyproject.toml", "rb") as file:
+    project = tomllib.load(file)["project"]
+print("\n".join(project["dependencies"]))
+END
 python3 -m pip install --quiet --disable-pip-version-check \
-    --target target/deps .
-# The sources at the root are run, not their copy.
-rm -rf target/deps/poplarloft target/deps/standins target/deps/benchmarks \
-    target/deps/poplarloft-*.dist-info build
+    --target target/deps -r target/requirements.txt
 touch "$stamp"
--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -12,6 +12,8 @@
 from poplarloft.coordination.serving.logbook import WriteBatch
 from poplarloft.coordination.serving.orders import LoadPlanner
 from poplarloft.coordination.serving.orders import LoadVersion
+from poplarloft.coordination.serving.paths import DIRECT
+from poplarloft.coordination.serving.paths import PathChoice
 from poplarloft.coordination.serving.planning import EngineView
 from poplarloft.coordination.serving.planning import LotPlan
 from poplarloft.coordination.serving.planning import Planner
@@ -23,6 +25,8 @@
 from poplarloft.coordination.serving.texts import Stage
 
 __all__ = [
+    "DIRECT",
+    "PathChoice",
     "AdoptBatch",
     "Balancer",
     "BrokenOrder",
--- /dev/null
+++ b/poplarloft/coordination/serving/paths.py
@@ -0,0 +1,74 @@
+"""Which way a call to the store takes: directly, or through a peer."""
+
+from collections import abc
+import random
+
+from poplarloft import state
+
+__all__ = ["DIRECT", "PathChoice"]
+
+DIRECT = ""
+REFUSED_MS = 3_000
+AWAY_MS = 700
+MAX_PEERS = 2
+
+
+class PathChoice:
+    """Prefers the direct way; keeps off ways that failed just now.
+
+    When all ways that were tried fail, the store itself is taken to be
+    away, and for a while only the direct way is tried: each call is
+    priced, also one that is refused.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    rng : random.Random
+        Chooses among peers.
+    """
+
+    def __init__(self, clock: state.Clock, rng: random.Random) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.peers: tuple[str, ...] = ()
+        self.refused_until_ms: dict[str, int] = {}
+        self.good_peer = ""
+        self.away_until_ms = 0
+
+    def see_peers(self, peers: abc.Iterable[str]) -> None:
+        """Take the names of the peers that may carry calls."""
+        self.peers = tuple(peers)
+
+    def ways(self) -> list[str]:
+        """Return the ways to try for one call, in order."""
+        now_ms = self.clock.now_ms()
+        if now_ms < self.away_until_ms:
+            return [DIRECT]
+        usable = [
+            peer
+            for peer in self.peers
+            if self.refused_until_ms.get(peer, 0) <= now_ms
+        ]
+        self.rng.shuffle(usable)
+        usable.sort(key=lambda peer: peer != self.good_peer)
+        ways = usable[:MAX_PEERS]
+        if self.refused_until_ms.get(DIRECT, 0) <= now_ms:
+            return [DIRECT, *ways]
+        return [*ways, DIRECT]
+
+    def on_answer(self, way: str) -> None:
+        """Note that the store answered."""
+        self.refused_until_ms.pop(way, None)
+        self.away_until_ms = 0
+        if way != DIRECT:
+            self.good_peer = way
+
+    def on_refused(self, way: str) -> None:
+        """Note a call that was refused or not answered."""
+        until_ms = self.clock.now_ms() + REFUSED_MS
+        self.refused_until_ms[way] = until_ms
+
+    def on_all_refused(self) -> None:
+        """Note a call that failed on each way."""
+        self.away_until_ms = self.clock.now_ms() + AWAY_MS
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -6,13 +6,13 @@
 import eliot
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import relaying
 from poplarloft.daemon.serving import runner
 from poplarloft.daemon.serving import standby
 from poplarloft.daemon.serving import tenure
 from poplarloft.daemon import tasks
 from poplarloft.platform import documents
 from poplarloft.platform import names
-from poplarloft.platform import store as platform_store
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
@@ -44,9 +44,12 @@
         self.rng = random.Random()
         self.task_set = tasks.TaskSet()
         self.client = http_client.HttpClient()
-        self.store = platform_store.PlatformStore(
-            self.client, addresses.parse_address(settings.store)
+        self.store = relaying.RelayedStore(
+            self.client,
+            addresses.parse_address(settings.store),
+            serving.PathChoice(self.clock, self.rng),
         )
+        self.relay = relaying.CallRelay(self.client, self.store, settings.name)
         self.regions = settings.region_of()
         self.link = standby.StandbyLink(
             self.clock,
@@ -67,6 +70,11 @@
         self.tenure = tenure.Tenure(
             self.clock, self.store, me, self.link, self._make_runner
         )
+        if self.settings.relay_listen is not None:
+            await self.relay.start(
+                addresses.parse_address(self.settings.relay_listen),
+                self.task_set,
+            )
         self.task_set.spawn(self.tenure.run())
 
     async def stop(self) -> None:
@@ -77,6 +85,7 @@
                 await duty.stop()
             await self.tenure.give_up()
         await self.task_set.cancel_all()
+        await self.relay.stop()
         self.link.close()
         self.client.close()
         eliot.log_message("stopped", store_calls=self.store.calls)
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -9,12 +9,12 @@
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import forwarding
 from poplarloft.daemon.serving import lotdesk
+from poplarloft.daemon.serving import relaying
 from poplarloft.daemon.serving import view
 from poplarloft.daemon import tasks
 from poplarloft.platform import ingress
 from poplarloft.platform import lots
 from poplarloft.platform import samplers
-from poplarloft.platform import store as platform_store
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
@@ -47,9 +47,12 @@
         self.rng = random.Random()
         self.task_set = tasks.TaskSet()
         self.client = http_client.HttpClient()
-        self.store = platform_store.PlatformStore(
-            self.client, addresses.parse_address(settings.store)
+        self.store = relaying.RelayedStore(
+            self.client,
+            addresses.parse_address(settings.store),
+            serving.PathChoice(self.clock, self.rng),
         )
+        self.relay = relaying.CallRelay(self.client, self.store, settings.name)
         self.operator = view.OperatorView()
         self.samplers = view.SamplerView(self.clock)
         self.regions = settings.region_of()
@@ -76,6 +79,10 @@
         settings = self.settings
         if settings.listen is None or settings.ready_listen is None:
             raise errors.FieldError("--listen", "expected with duty entry")
+        if settings.relay_listen is not None:
+            await self.relay.start(
+                addresses.parse_address(settings.relay_listen), self.task_set
+            )
         self.operator.start(self.store, self.task_set)
         self.samplers.start(self.store, self.task_set)
         await self.readiness.start(
@@ -92,6 +99,7 @@
         left_ms = (end_s - loop.time()) * MS_PER_S - EXIT_MARGIN_MS
         cut = await self.front.drain(max(0, int(left_ms)))
         await self.readiness.drain(0)
+        await self.relay.stop()
         await self.task_set.cancel_all()
         self.client.close()
         eliot.log_message("stopped", cut=cut, store_calls=self.store.calls)
--- /dev/null
+++ b/poplarloft/daemon/serving/relaying.py
@@ -0,0 +1,254 @@
+"""Calls to the store through peers, for daemons that it turns away."""
+
+import asyncio
+from collections import abc
+import typing
+
+import eliot
+from returns import result
+
+from poplarloft.coordination import retries
+from poplarloft.coordination import serving
+from poplarloft.daemon import tasks
+from poplarloft.platform import store as platform_store
+from poplarloft.protocol import addresses
+from poplarloft.protocol import errors
+from poplarloft.protocol import http
+from poplarloft.protocol import lot_records
+from poplarloft import state
+from poplarloft.transport import http_client
+from poplarloft.transport import http_server
+
+__all__ = ["CallRelay", "RelayedStore"]
+
+LIST_MS = 20_000
+FIRST_LIST_MS = 3_000  # all daemons of a fleet have started by then
+RETRY_MS = 1_000
+RELAY_TIMEOUT_MS = 11_000
+MAX_CALL_BYTES = 2_000_000
+UNAVAILABLE = 503
+MS_PER_S = 1_000
+FailureKind = state.StoreFailureKind
+REFUSED = (FailureKind.NOT_DONE, FailureKind.NO_ANSWER)
+T = typing.TypeVar("T")
+Read = result.Result[T, state.StoreFailure]
+
+
+class RelayedStore:
+    """A store that is reached directly or through peers.
+
+    Parameters
+    ----------
+    client : http_client.HttpClient
+        Connections to the store and the peers.
+    address : state.Address
+        The store.
+    choice : serving.PathChoice
+        Decides which way a call takes.
+    """
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        address: state.Address,
+        choice: serving.PathChoice,
+    ) -> None:
+        self.client = client
+        self.choice = choice
+        self.direct = platform_store.PlatformStore(client, address)
+        self.by_way = {serving.DIRECT: self.direct}
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls were made on all ways."""
+        return sum(store.calls for store in self.by_way.values())
+
+    def see_peers(self, peers: dict[str, state.Address]) -> None:
+        """Take the addresses at which peers carry calls."""
+        by_way = {serving.DIRECT: self.direct}
+        for name, address in peers.items():
+            known = self.by_way.get(name)
+            if known is None or known.address != address:
+                known = platform_store.PlatformStore(self.client, address)
+            by_way[name] = known
+        self.by_way = by_way
+        self.choice.see_peers(peers)
+
+    async def get(self, key: str) -> Read[state.Entry | None]:
+        """Return the entry of `key`, or None."""
+        return await self._read(lambda store: store.get(key))
+
+    async def list_page(
+        self, prefix: str, after_key: str = ""
+    ) -> Read[state.Page]:
+        """Return entries under `prefix`, those after `after_key`."""
+        return await self._read(
+            lambda store: store.list_page(prefix, after_key)
+        )
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_ms: int
+    ) -> Read[state.Changes]:
+        """Return changes under `prefix`, waiting until there is one."""
+        return await self._read(
+            lambda store: store.watch(prefix, after_revision, wait_ms)
+        )
+
+    async def grant_lease(self, ttl_ms: int) -> Read[int]:
+        """Return a new lease."""
+        return await self._read(lambda store: store.grant_lease(ttl_ms))
+
+    async def keep_lease(self, lease: int) -> Read[int]:
+        """Renew a lease; return its duration in milliseconds."""
+        return await self._read(lambda store: store.keep_lease(lease))
+
+    async def end_lease(self, lease: int) -> Read[int]:
+        """End a lease and remove its keys."""
+        return await self._read(lambda store: store.end_lease(lease))
+
+    async def write(
+        self,
+        expected: abc.Sequence[state.Expectation],
+        puts: abc.Sequence[state.Put],
+        deletes: abc.Sequence[str] = (),
+    ) -> state.WriteAnswer:
+        """Make all changes if all expectations hold, else none.
+
+        Only a write that was surely not done is tried on another way.
+        """
+        for way in self.choice.ways():
+            answer = await self.by_way[way].write(expected, puts, deletes)
+            match answer.status:
+                case state.WriteStatus.NOT_DONE:
+                    self._on_refused(way, answer.detail)
+                case state.WriteStatus.UNKNOWN:
+                    self._on_refused(way, answer.detail)
+                    return answer
+                case _:
+                    self.choice.on_answer(way)
+                    return answer
+        self.choice.on_all_refused()
+        return answer
+
+    async def _read(
+        self,
+        call: abc.Callable[
+            [platform_store.PlatformStore], abc.Awaitable[Read[T]]
+        ],
+    ) -> Read[T]:
+        for way in self.choice.ways():
+            answer = await call(self.by_way[way])
+            match answer:
+                case result.Failure(state.StoreFailure() as failure) if (
+                    failure.kind in REFUSED
+                ):
+                    self._on_refused(way, failure.detail)
+                case _:
+                    self.choice.on_answer(way)
+                    return answer
+        self.choice.on_all_refused()
+        return answer
+
+    def _on_refused(self, way: str, detail: str) -> None:
+        self.choice.on_refused(way)
+        eliot.log_message(
+            "store-call-refused", way=way or "direct", detail=detail[:200]
+        )
+
+
+class CallRelay:
+    """Carries peers' calls to the store, and learns of the peers.
+
+    Parameters
+    ----------
+    client : http_client.HttpClient
+        Connections to the store.
+    store : RelayedStore
+        Keeps the addresses of all daemons.
+    name : str
+        This daemon.
+    """
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        store: RelayedStore,
+        name: str,
+    ) -> None:
+        self.client = client
+        self.store = store
+        self.name = name
+        self.carried = 0
+        self.server = http_server.HttpServer(
+            self.handle,
+            http_server.ServerLimits(),
+            lambda path: MAX_CALL_BYTES,
+            cancels=True,
+        )
+
+    async def start(
+        self, listen: state.Address, task_set: tasks.TaskSet
+    ) -> None:
+        """Listen for peers, and follow who they are."""
+        bound = await self.server.start(listen)
+        task_set.spawn(self._follow_peers(bound))
+
+    async def stop(self) -> None:
+        """Cut the calls that are carried; their senders try others."""
+        await self.server.drain(0)
+
+    async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        """Carry one call to the store and return its answer."""
+        self.carried += 1
+        target = request.path
+        if request.query:
+            target = f"{target}?{request.query}"
+        sent = await self.client.send(
+            self.store.direct.address,
+            request.method,
+            target,
+            (("content-type", "application/json"),),
+            request.body,
+            RELAY_TIMEOUT_MS,
+        )
+        match sent:
+            case result.Success(answer):
+                body = await answer.read()
+                return http.HttpResponse(answer.status, (), body)
+            case result.Failure(failure):
+                if retries.verdict_of(failure.kind) is (state.Verdict.NOT_RUN):
+                    return http.HttpResponse(UNAVAILABLE)
+        raise ConnectionError("the store did not answer a carried call")
+
+    async def _follow_peers(self, bound: state.Address) -> None:
+        """Write our address once; list all addresses now and then."""
+        put = state.Put(lot_records.member_key(self.name), str(bound).encode())
+        while True:
+            answer = await self.store.write([], [put])
+            if answer.status is state.WriteStatus.APPLIED:
+                break
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+        await asyncio.sleep(FIRST_LIST_MS / MS_PER_S)
+        while True:
+            await self._list_peers()
+            await asyncio.sleep(LIST_MS / MS_PER_S)
+
+    async def _list_peers(self) -> None:
+        page = await self.store.list_page(lot_records.MEMBERS_PREFIX)
+        match page:
+            case result.Success(state.Page(entries=entries)):
+                peers = {}
+                for entry in entries:
+                    name = entry.key.removeprefix(lot_records.MEMBERS_PREFIX)
+                    try:
+                        address = addresses.parse_address(entry.value.decode())
+                    except (errors.ProtocolError, UnicodeDecodeError) as error:
+                        eliot.log_message(
+                            "entry-unreadable",
+                            key=entry.key,
+                            error=str(error),
+                        )
+                        continue
+                    if name != self.name:
+                        peers[name] = address
+                self.store.see_peers(peers)
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -87,7 +87,7 @@
         self,
         client: http_client.HttpClient,
         address: state.Address,
-        timeout_ms: int = 2_000,
+        timeout_ms: int = 1_500,
     ) -> None:
         self.client = client
         self.address = address
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -11,6 +11,7 @@
     "BATCHES_PREFIX",
     "ENDED_PREFIX",
     "LOTS_PREFIX",
+    "MEMBERS_PREFIX",
     "RUNNER_KEY",
     "TEXTS_PREFIX",
     "batch_key",
@@ -27,6 +28,7 @@
     "ended_key",
     "head_key",
     "lot_key",
+    "member_key",
     "parse_ended_key",
     "parse_lot_key",
     "texts_key",
@@ -36,6 +38,7 @@
 BATCHES_PREFIX = "batches/"
 RUNNER_KEY = "cells/0/runner"
 TEXTS_PREFIX = "texts/"
+MEMBERS_PREFIX = "members/"
 ENDED_PREFIX = "ended/"
 LOT_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 HEAD_NUMBER = 0
@@ -96,6 +99,11 @@
     return f"{batches_prefix(lot_id)}{HEAD_NUMBER:06d}"
 
 
+def member_key(name: str) -> str:
+    """Return the key with a daemon's address for carried calls."""
+    return f"{MEMBERS_PREFIX}{name}"
+
+
 def encode_record(record: state.LotRecord) -> bytes:
     """Return the value of a lot's key."""
     return msgspec.msgpack.encode(record)
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -57,6 +57,10 @@
     peer_listen: addresses.AddressText | None = pydantic.Field(
         default=None, description="IP number and port for other daemons"
     )
+    relay_listen: addresses.AddressText | None = pydantic.Field(
+        default=None,
+        description="IP number and port for store calls of other daemons",
+    )
     drain_notice_ms: int = pydantic.Field(
         default=2_500,
         ge=0,
