Bound logs, serve metrics, explain one request

Each event is counted on a metrics page and written as one JSON line under a budget per kind (50 a second, failures four times that), with a counted summary; a reader that is slow drops lines and never makes the daemon wait. poplarloft explain ID tells one request's, item's or lot's story from log files.

--- a/poplarloft/cli/commands.py
+++ b/poplarloft/cli/commands.py
@@ -10,6 +10,7 @@
 
 from poplarloft.cli import base
 from poplarloft.cli import config_commands
+from poplarloft.cli import explain_command
 from poplarloft.cli import key_commands
 from poplarloft.cli import usage_commands
 from poplarloft.protocol import settings
@@ -153,6 +154,7 @@
     *usage_commands.USAGE_COMMANDS,
     Demo,
     Drain,
+    explain_command.Explain,
     Histograms,
     Lots,
     Routes,
--- /dev/null
+++ b/poplarloft/coordination/log_budget.py
@@ -0,0 +1,66 @@
+"""How many log lines of a kind may be written."""
+
+import collections
+import dataclasses
+
+from poplarloft import state
+
+__all__ = ["LogBudget", "OmittedLines"]
+
+LINES_PER_S = 50.0
+BURST_LINES = 200.0
+FAILURE_FACTOR = 4.0  # lines of failures go on longer than others
+MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OmittedLines:
+    """Lines of one kind that were not written."""
+
+    kind: str
+    count: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    filled_at_ms: int
+
+
+class LogBudget:
+    """A token bucket for each kind of line; lines of failures get more.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    """
+
+    def __init__(self, clock: state.Clock) -> None:
+        self.clock = clock
+        self.buckets: dict[tuple[str, bool], _Bucket] = {}
+        self.omitted: collections.Counter[str] = collections.Counter()
+
+    def allows(self, kind: str, is_failure: bool) -> bool:
+        """Tell whether a line may be written, and count it."""
+        now_ms = self.clock.now_ms()
+        factor = FAILURE_FACTOR if is_failure else 1.0
+        most = BURST_LINES * factor
+        bucket = self.buckets.setdefault(
+            (kind, is_failure), _Bucket(most, now_ms)
+        )
+        passed_s = (now_ms - bucket.filled_at_ms) / MS_PER_S
+        filled = bucket.tokens + passed_s * LINES_PER_S * factor
+        bucket.tokens = min(most, filled)
+        bucket.filled_at_ms = now_ms
+        if bucket.tokens < 1:
+            self.omitted[kind] += 1
+            return False
+        bucket.tokens -= 1
+        return True
+
+    def take_omitted(self) -> list[OmittedLines]:
+        """Return what was left out since the last call."""
+        rows = [OmittedLines(k, n) for k, n in sorted(self.omitted.items())]
+        self.omitted.clear()
+        return rows
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -77,7 +77,8 @@
     ) -> http.HttpResponse:
         """Return the upstream's answer or the refusal."""
         allowed_ms = min(call.deadline_ms, route.timeout_ms)
-        end_ms = self.clock.now_ms() + allowed_ms - ANSWER_MARGIN_MS
+        started_ms = self.clock.now_ms()
+        end_ms = started_ms + allowed_ms - ANSWER_MARGIN_MS
         service = self._pick_service(route)
         done = _Attempts()
         while len(done.names) < max(1, route.max_attempts):
@@ -91,6 +92,15 @@
             done.names.append(sampler.name)
             response = await self._attempt(call, route, sampler, left_ms, done)
             if response is not None:
+                eliot.log_message(
+                    "request-answered",
+                    request=call.id,
+                    route=route.name,
+                    tried=done.names,
+                    status=response.status,
+                    allowed_ms=allowed_ms,
+                    duration_ms=self.clock.now_ms() - started_ms,
+                )
                 return response
             if done.may_have_run and not route.is_repeatable:
                 break
--- a/poplarloft/daemon/serving/lotdesk.py
+++ b/poplarloft/daemon/serving/lotdesk.py
@@ -125,6 +125,14 @@
             wait_ms = min(question.wait_ms, MAX_WAIT_MS)
             failure = await self._refresh(question.lot_id, held, wait_ms)
             if failure is not None:
+                eliot.log_message(
+                    "lot-read-refused",
+                    request=question.lot_id,
+                    position=question.position,
+                    held=len(held.results),
+                    revision=held.revision,
+                    detail=failure.detail,
+                )
                 return _unread(_not_ready(failure.detail))
         if not held.is_known:
             self.views.pop(question.lot_id, None)
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -6,11 +6,13 @@
 
 import eliot
 
-from poplarloft.daemon import logs
 from poplarloft.daemon.serving import bulk
 from poplarloft.daemon.serving import entry
+from poplarloft.daemon.serving import telemetry
+from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
+from poplarloft import state
 
 __all__ = ["run_platform"]
 
@@ -18,12 +20,16 @@
 def run_platform(arguments: abc.Sequence[str]) -> None:
     """Run until SIGTERM; raises `FieldError` for a bad setting."""
     settings = serving_settings.load_serving_settings(arguments)
-    logs.start_logging(settings.name)
-    asyncio.run(_run(settings, arguments))
+    observed = telemetry.Telemetry(state.MonotonicClock(), settings.name)
+    observed.begin()
+    asyncio.run(_run(settings, arguments, observed))
+    observed.summarize()
 
 
 async def _run(
-    settings: serving_settings.ServingSettings, arguments: abc.Sequence[str]
+    settings: serving_settings.ServingSettings,
+    arguments: abc.Sequence[str],
+    observed: telemetry.Telemetry,
 ) -> None:
     daemon: entry.EntryDaemon | bulk.BulkDaemon
     if settings.duty == "entry":
@@ -36,6 +42,9 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, arguments)
     eliot.log_message("starting", duty=settings.duty)
+    daemon.task_set.spawn(observed.run())
+    if settings.metrics_listen is not None:
+        await observed.serve(addresses.parse_address(settings.metrics_listen))
     await daemon.start()
     eliot.log_message("started", duty=settings.duty)
     await stopping.wait()
--- a/poplarloft/daemon/serving/rewards.py
+++ b/poplarloft/daemon/serving/rewards.py
@@ -115,17 +115,19 @@
         finally:
             self.balancer.on_end(sampler)
             self.freed.set()
+        duration_ms = self.clock.now_ms() - started_ms
+        eliot.log_message(
+            "reward-failed" if detail else "reward",
+            item=text.item.id,
+            request=reward.id,
+            upstream=sampler.name,
+            detail=detail[:200],
+            duration_ms=duration_ms,
+        )
         if detail:
             self.balancer.on_failure(sampler)
-            eliot.log_message(
-                "reward-failed",
-                item=text.item.id,
-                request=reward.id,
-                upstream=sampler.name,
-                detail=detail[:200],
-            )
         else:
-            self.balancer.on_answer(sampler, self.clock.now_ms() - started_ms)
+            self.balancer.on_answer(sampler, duration_ms)
 
     async def _take(
         self,
--- /dev/null
+++ b/poplarloft/transport/metrics_page.py
@@ -0,0 +1,48 @@
+"""Counters and histograms as a page of text, by prometheus_client."""
+
+import prometheus_client
+
+__all__ = ["METRIC_NAMES", "MetricsPage"]
+
+BOUNDS_MS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
+METRIC_NAMES = {
+    "poplarloft_events_total": "Log events by kind and outcome",
+    "poplarloft_duration_ms": "Durations by kind of event and class",
+    "poplarloft_log_lines_omitted_total": "Lines left out by kind",
+    "poplarloft_log_lines_dropped": "Lines that were not read in time",
+}
+
+
+class MetricsPage:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.events = prometheus_client.Counter(
+            "poplarloft_events",
+            METRIC_NAMES["poplarloft_events_total"],
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self.durations = prometheus_client.Histogram(
+            "poplarloft_duration_ms",
+            METRIC_NAMES["poplarloft_duration_ms"],
+            ["kind", "request_class"],
+            buckets=BOUNDS_MS,
+            registry=self.registry,
+        )
+        self.omitted = prometheus_client.Counter(
+            "poplarloft_log_lines_omitted",
+            METRIC_NAMES["poplarloft_log_lines_omitted_total"],
+            ["kind"],
+            registry=self.registry,
+        )
+        self.dropped = prometheus_client.Gauge(
+            "poplarloft_log_lines_dropped",
+            METRIC_NAMES["poplarloft_log_lines_dropped"],
+            registry=self.registry,
+        )
+
+    def text(self) -> bytes:
+        """Return the page."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,68 @@
+"""`poplarloft explain` on log lines of several daemons."""
+
+import json
+
+from cleo import application
+from cleo.testers import command_tester
+
+from poplarloft.cli import explain_command
+
+
+def line(time_s, instance, kind, **fields):
+    return json.dumps(
+        {
+            "timestamp": time_s,
+            "instance": instance,
+            "message_type": kind,
+            "task_uuid": "u",
+            "task_level": [1],
+            **fields,
+        }
+    )
+
+
+LOGS = {
+    "a.log": [
+        line(3.0, "a", "item-run", item="i1", lot="l", outcome="cut: reset"),
+        "not a line of the log",
+        line(1.0, "a", "lot-opened", request="l"),
+    ],
+    "b.log": [
+        "  2.5 b " + line(4.0, "b", "item-run", item="i1", outcome="whole"),
+        line(5.0, "b", "reward", item="i1", request="r1", detail=""),
+        line(6.0, "b", "results-listed", request="l", outcome="applied"),
+        line(5.5, "b", "item-run", item="i2", outcome="whole"),
+    ],
+}
+
+
+def explain(tmp_path, arguments):
+    for name, lines in LOGS.items():
+        (tmp_path / name).write_text("\n".join(lines))
+    tool = application.Application()
+    tool.add(explain_command.Explain())
+    tester = command_tester.CommandTester(tool.find("explain"))
+    files = " ".join(str(tmp_path / name) for name in LOGS)
+    status = tester.execute(f"{arguments} {files}")
+    return status, tester.io.fetch_output().splitlines()
+
+
+def test_item_is_told_in_order_with_its_first_failure(tmp_path):
+    status, rows = explain(tmp_path, "i1")
+    assert status == 0
+    assert [row.split()[-1].partition("=")[0] for row in rows]
+    assert [row[0] for row in rows] == [">", " ", " "]
+    assert "outcome=cut: reset" in rows[0]
+    assert "reward" in rows[2]
+
+
+def test_json_holds_the_same(tmp_path):
+    _, rows = explain(tmp_path, "--json i1")
+    events = [json.loads(row) for row in rows]
+    assert [event["time_s"] for event in events] == [3.0, 4.0, 5.0]
+    assert [event["first_wrong"] for event in events] == [True, False, False]
+
+
+def test_unknown_identifier_is_an_error(tmp_path):
+    status, _ = explain(tmp_path, "nothing")
+    assert status == 1
