Hand large bodies on in pieces, both ways

Cause: bodies were held whole; many near the limit of 32 MB would pass an entry's 300 MB. Bodies over 256 KB, or without a length, now pass in pieces; an upstream may answer before a body's end, the rest is read and dropped so that the client gets the answer. Such a request is tried at one upstream only. Tests: 700 KB both ways, early refusal, 413.

--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -221,6 +221,7 @@
             http_server.ServerLimits(),
             self._max_body_bytes,
             cancels=True,
+            may_stream=self._may_stream,
         )
 
     def _max_body_bytes(self, path: str) -> int:
@@ -228,6 +229,15 @@
         limits = configuration.limits if configuration else None
         return (limits or state.ServingLimits()).max_body_bytes
 
+    def _may_stream(self, path: str) -> bool:
+        """Tell whether bodies to a path are handed on, not read as lots."""
+        configuration = self.operator.configuration
+        return configuration is not None and not any(
+            path.startswith(route.prefix)
+            for route in configuration.routes
+            if route.kind is state.RepeatKind.LOTS
+        )
+
     def _apply_limits(self) -> None:
         configuration = self.operator.configuration
         if configuration is None:
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -1,5 +1,6 @@
 """Sends a client's request to an upstream and returns the answer."""
 
+from collections import abc
 import dataclasses
 import random
 
@@ -22,6 +23,7 @@
 MIN_ATTEMPT_MS = 20
 ANSWER_MARGIN_MS = 20  # the refusal must reach the client in time
 SERVER_ERROR = 500
+WHOLE_ANSWER_BYTES = 262_144  # larger answers are handed on in pieces
 FailureKind = retries.FailureKind
 
 
@@ -104,6 +106,9 @@
                 return response
             if done.may_have_run and not route.is_repeatable:
                 break
+            if not isinstance(call.body, bytes):
+                # The body has been handed on and is not held here.
+                break
         return self._refuse(call, route, done, end_ms)
 
     def _pick_service(self, route: state.PathRoute) -> str:
@@ -179,7 +184,7 @@
         if route.kind is state.RepeatKind.STREAM:
             return http.HttpResponse(answer.status, headers, answer.chunks())
         try:
-            body = await answer.read()
+            body = await answer.read_up_to(WHOLE_ANSWER_BYTES)
         except http_client.AnswerCut as error:
             failure = errors.TransportFailure(
                 FailureKind.HALF_ANSWER, str(error)
@@ -195,7 +200,10 @@
             )
             self._note_failure(call, sampler, failure, done)
             return None
-        return http.HttpResponse(answer.status, headers, body)
+        if answer.ended:
+            return http.HttpResponse(answer.status, headers, body)
+        headers += samplers.body_length(answer)
+        return http.HttpResponse(answer.status, headers, _rest(body, answer))
 
     def _note_failure(
         self,
@@ -244,3 +252,12 @@
         return ingress.refusal_response(
             state.Refusal(reason, done.verdict, done.detail, retry_ms)
         )
+
+
+async def _rest(
+    begun: bytes, answer: http_client.UpstreamAnswer
+) -> abc.AsyncIterator[bytes]:
+    """Yield what was read of a large answer, then the rest of it."""
+    yield begun
+    async for piece in answer.chunks():
+        yield piece
--- a/poplarloft/platform/ingress.py
+++ b/poplarloft/platform/ingress.py
@@ -60,9 +60,8 @@
     method: str
     target: str
     headers: http.Headers
-    body: bytes
+    body: bytes | http.BodyStream
     deadline_ms: int
-    last_event_id: int | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,16 +143,14 @@
         if name not in dropped
     )
     deadline = request.headers.get(names.DEADLINE_MS)
-    last_event = request.headers.get(names.LAST_EVENT_ID)
     return ForwardedCall(
         request_id(request),
         request_host(request),
         request.method,
         target,
         headers,
-        request.body,
+        request.stream or request.body,
         _number(names.DEADLINE_MS, deadline or str(DEFAULT_DEADLINE_MS)),
-        None if last_event is None else _number("last event", last_event),
     )
 
 
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -120,7 +120,7 @@
         method: str,
         target: str,
         headers: abc.Iterable[tuple[str, str]],
-        body: bytes,
+        body: bytes | http.BodyStream,
         deadline_ms: int,
         is_repeatable: bool,
     ) -> Outcome:
@@ -281,6 +281,12 @@
     return int(text) if text.isdecimal() else None
 
 
+def body_length(answer: http_client.UpstreamAnswer) -> http.Headers:
+    """Return the header with the length of an answer's body, if known."""
+    length = answer.headers.get("content-length")
+    return () if length is None else (("content-length", length),)
+
+
 def returned_headers(answer: http_client.UpstreamAnswer) -> http.Headers:
     """Return the headers that go back to the client."""
     return tuple(
--- a/poplarloft/protocol/http.py
+++ b/poplarloft/protocol/http.py
@@ -12,6 +12,7 @@
 from poplarloft import state
 
 __all__ = [
+    "BodyStream",
     "CallerHeaders",
     "HttpRequest",
     "HttpResponse",
@@ -37,9 +38,21 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyStream:
+    """A body that is read piece by piece, once.
+
+    `length` is None if the client sends it in chunks. Reading raises
+    `errors.ProtocolError` if the body passes its limits.
+    """
+
+    pieces: abc.AsyncIterator[bytes]
+    length: int | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """One whole request.
+    """One request; `stream` is set in place of a large `body`.
 
     `headers` maps lower-case names to values; of repeated headers the
     last counts.
@@ -50,6 +63,7 @@
     query: str
     headers: dict[str, str]
     body: bytes = b""
+    stream: BodyStream | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -11,6 +11,8 @@
 from returns import result
 
 from poplarloft.coordination import retries
+from poplarloft.protocol import errors as protocol_errors
+from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import errors
 
@@ -67,11 +69,11 @@
 
     def is_reusable(self) -> bool:
         """Tell whether another exchange may follow."""
-        http = self.http
+        states = self.http.states
         return (
-            http.our_state is h11.DONE
-            and http.their_state is h11.DONE
-            and not http.trailing_data[0]
+            states[h11.CLIENT] is h11.DONE
+            and states[h11.SERVER] is h11.DONE
+            and not self.http.trailing_data[0]
             and not self.reader.at_eof()
             and not self.writer.is_closing()
         )
@@ -138,6 +140,25 @@
         """Return the whole body; raises `AnswerCut`."""
         return b"".join([piece async for piece in self.chunks()])
 
+    async def read_up_to(self, size: int) -> bytes:
+        """Return the body up to about `size` bytes; raises `AnswerCut`.
+
+        `ended` tells whether that was all; the rest is had by `chunks`.
+        """
+        pieces: list[bytes] = []
+        held = 0
+        try:
+            while not self.ended and held < size:
+                piece = await self._read_piece()
+                held += len(piece)
+                pieces.append(piece)
+        except BaseException:
+            self.close()
+            raise
+        if self.ended:
+            self.close()
+        return b"".join(pieces)
+
     def close(self) -> None:
         """Return the connection if the body has ended, else close it.
 
@@ -201,7 +222,7 @@
         method: str,
         target: str,
         headers: abc.Iterable[tuple[str, str]] = (),
-        body: bytes = b"",
+        body: bytes | http.BodyStream = b"",
         timeout_ms: int = 30_000,
         fresh: bool = False,
     ) -> result.Result[UpstreamAnswer, errors.TransportFailure]:
@@ -295,14 +316,17 @@
         address: state.Address,
         connection: _Connection,
         request: h11.Request,
-        body: bytes,
+        body: bytes | http.BodyStream,
         timeout_ms: int,
     ) -> result.Result[UpstreamAnswer, errors.TransportFailure]:
         kind = FailureKind.RESET_AFTER_SEND
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
-                await self._write(connection, request, body)
-                head = await _read_head(connection)
+                if isinstance(body, bytes):
+                    await self._write(connection, request, body)
+                    head = await _read_head(connection)
+                else:
+                    head = await _write_and_read(connection, request, body)
             return result.Success(
                 UpstreamAnswer(self, address, connection, head, timeout_ms)
             )
@@ -319,7 +343,7 @@
                 detail = "connection closed before an answer"
             else:
                 kind = FailureKind.MALFORMED_ANSWER
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, protocol_errors.ProtocolError):
             connection.close()
             raise
         connection.close()
@@ -347,6 +371,42 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
 
 
+async def _write_and_read(
+    connection: _Connection, request: h11.Request, body: http.BodyStream
+) -> h11.Response:
+    """Send a body in pieces; an answer may come before its end.
+
+    Then nothing more of it is sent, and the connection can't be used
+    again.
+    """
+    loop = asyncio.get_running_loop()
+    writing = loop.create_task(_write_stream(connection, request, body))
+    reading = loop.create_task(_read_head(connection))
+    try:
+        await asyncio.wait(
+            {writing, reading}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not reading.done():
+            await writing
+        return await reading
+    finally:
+        for task in (writing, reading):
+            task.cancel()
+        await asyncio.gather(writing, reading, return_exceptions=True)
+
+
+async def _write_stream(
+    connection: _Connection, request: h11.Request, body: http.BodyStream
+) -> None:
+    connection.writer.write(connection.http.send(request) or b"")
+    async for piece in body.pieces:
+        sent = connection.http.send(h11.Data(data=piece))
+        connection.writer.write(sent or b"")
+        await connection.writer.drain()
+    connection.writer.write(connection.http.send(h11.EndOfMessage()) or b"")
+    await connection.writer.drain()
+
+
 async def _read_head(connection: _Connection) -> h11.Response:
     while True:
         event = await connection.next_event()
@@ -361,10 +421,14 @@
     method: str,
     target: str,
     headers: abc.Iterable[tuple[str, str]],
-    body: bytes,
+    body: bytes | http.BodyStream,
 ) -> h11.Request:
     all_headers = list(headers)
     if not any(name.lower() == "host" for name, _ in all_headers):
         all_headers.insert(0, ("host", str(address)))
-    all_headers.append(("content-length", str(len(body))))
+    length = len(body) if isinstance(body, bytes) else body.length
+    if length is None:
+        all_headers.append(("transfer-encoding", "chunked"))
+    else:
+        all_headers.append(("content-length", str(length)))
     return h11.Request(method=method, target=target, headers=all_headers)
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from poplarloft.protocol import errors
 from poplarloft.protocol import http
 from poplarloft import state
 
@@ -17,6 +18,8 @@
 Handler = abc.Callable[[http.HttpRequest], abc.Awaitable[http.HttpResponse]]
 BodyLimit = abc.Callable[[str], int]
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+WHOLE_BODY_BYTES = 262_144  # larger bodies may be handed on in pieces
+REST_TIMEOUT_MS = 3_000
 FIRST_REQUEST_GRACE_MS = 1_000
 LAST_LOOK_MS = 20
 
@@ -68,6 +71,8 @@
         Set for TLS.
     cancels : bool
         Whether a handler is cancelled when its client leaves.
+    may_stream : callable
+        Tells for a path whether a large body is handed on in pieces.
     """
 
     def __init__(
@@ -77,12 +82,14 @@
         body_limit: BodyLimit,
         tls: ssl.SSLContext | None = None,
         cancels: bool = False,
+        may_stream: abc.Callable[[str], bool] = lambda path: False,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.body_limit = body_limit
         self.tls = tls
         self.cancels = cancels
+        self.may_stream = may_stream
         self.sessions: dict[asyncio.Task[None], _Session] = {}
         self.draining = False
         self.server: asyncio.Server | None = None
@@ -213,16 +220,31 @@
         if response is None:
             return False
         await self._send(request, response)
+        if request.stream is not None:
+            await self._skip_rest()
         self.served = True
         return self.http.our_state is h11.DONE and (
             self.http.their_state is h11.DONE
         )
 
+    async def _skip_rest(self) -> None:
+        """Read what is left of a body that was answered early.
+
+        Closing with unread bytes would reset the connection, and the
+        client could lose the answer.
+        """
+        try:
+            async with asyncio.timeout(REST_TIMEOUT_MS / MS_PER_S):
+                while self.http.their_state is h11.SEND_BODY:
+                    await self._next_event()
+        except (OSError, TimeoutError, _Refused):
+            return
+
     async def _handle(
         self, request: http.HttpRequest
     ) -> http.HttpResponse | None:
         """Return the handler's response, None if the client left."""
-        if not self.server.cancels:
+        if not self.server.cancels or request.stream is not None:
             return await self.server.handler(request)
         loop = asyncio.get_running_loop()
         handling = loop.create_task(self._handler_call(request))
@@ -262,10 +284,52 @@
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         }
-        body = await self._read_body(path, headers)
         method = head.method.decode("ascii")
+        if self._is_large(headers) and self.server.may_stream(path):
+            stream = self._stream_body(path, headers)
+            return http.HttpRequest(method, path, query, headers, b"", stream)
+        body = await self._read_body(path, headers)
         return http.HttpRequest(method, path, query, headers, body)
 
+    def _is_large(self, headers: dict[str, str]) -> bool:
+        """Tell whether a body is, or may become, too large to hold."""
+        if "transfer-encoding" in headers:
+            return True
+        return int(headers.get("content-length", "0")) > WHOLE_BODY_BYTES
+
+    def _stream_body(
+        self, path: str, headers: dict[str, str]
+    ) -> http.BodyStream:
+        limit = self.server.body_limit(path)
+        length = headers.get("content-length")
+        if int(length or 0) > limit:
+            raise _too_large(limit)
+        pieces = self._body_pieces(limit)
+        return http.BodyStream(pieces, None if length is None else int(length))
+
+    async def _body_pieces(self, limit: int) -> abc.AsyncIterator[bytes]:
+        """Yield the body as it arrives; raises `ProtocolError`."""
+        if self.http.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            self.writer.write(self.http.send(proceed) or b"")
+        size = 0
+        try:
+            while True:
+                async with asyncio.timeout(
+                    self.limits.body_timeout_ms / MS_PER_S
+                ):
+                    event = await self._next_event()
+                if not isinstance(event, h11.Data):
+                    return
+                size += len(event.data)
+                if size > limit:
+                    raise _too_large(limit)
+                yield bytes(event.data)
+        except _Refused as refused:
+            raise errors.ProtocolError(refused.refusal.detail) from refused
+        except (OSError, TimeoutError) as error:
+            raise errors.ProtocolError("the body was broken off") from error
+
     async def _read_head(self) -> h11.Request | None:
         pipelined = self.http.trailing_data[0]
         if not pipelined and not await self._first_bytes():
--- a/tests/test_serving_requests.py
+++ b/tests/test_serving_requests.py
@@ -130,3 +130,32 @@
     fleet.store.is_down = True
     await asyncio.sleep(0.3)
     assert (await post(fleet, "/p/1"))[0] == 200
+
+
+LARGE = b"x" * 700_000
+
+
+async def test_large_bodies_pass_in_pieces_both_ways(fleet):
+    status, _, body = await fleet.call(
+        "POST", "/p/1", LARGE, (("x-request-id", "r1"),)
+    )
+    assert status == 200
+    assert body == b"answer to " + LARGE
+
+
+async def test_answer_before_the_end_of_a_large_body_is_whole(fleet):
+    for service in fleet.services:
+        service.slots = 0
+    for _ in range(2):
+        status, headers, _ = await fleet.call(
+            "POST", "/once/1", LARGE, (("x-request-id", "r1"),)
+        )
+        assert status == 503
+        assert "retry-after" in headers
+    assert runs(fleet) == []
+
+
+async def test_body_over_the_limit_is_413(fleet):
+    status, _, _ = await fleet.call("POST", "/p/1", b"x" * 1_000_001)
+    assert status == 413
+    assert runs(fleet) == []
