--- a/poplarloft/coordination/membership.py
+++ b/poplarloft/coordination/membership.py
@@ -12,12 +12,12 @@
 from poplarloft.coordination import gossip
 from poplarloft.coordination import probing
 from poplarloft.coordination import relaying
+from poplarloft.coordination import remote
 from poplarloft.coordination import routing
 from poplarloft import state
 
 __all__ = ["Membership"]
 
-OTHER_THAN_RELAY = 0.2
 # Usage is flushed within its data centre, so it stays there.
 LOCAL_TOPICS = frozenset({"usage"})
 
@@ -199,7 +199,7 @@
         if not self.store.put(rumour):
             return False
         if rumour.key[0] not in LOCAL_TOPICS and self.is_relay():
-            self.news.add(rumour.key, self._other_centres())
+            self.news.add(rumour.key, remote.other_centres(self))
         return True
 
     def _note_status(self, record: state.MemberRecord) -> None:
@@ -322,7 +322,7 @@
             if self.round % self.settings.digest_every == 0:
                 digest = self.store.digest()
                 actions.append(gossip.SendDigest(target, digest))
-        actions += self._talk_to_other_data_centres()
+        actions += remote.talk(self)
         actions += self._contact_dead_neighbour()
         return actions
 
@@ -377,48 +377,6 @@
         others = [r for r in rumours if r != record]
         return (record, *others)
 
-    def _talk_to_other_data_centres(self) -> list[gossip.MembershipAction]:
-        """As a relay, pass news on to other data centres.
-
-        A few centres with news are served per round, so that the load
-        doesn't grow with the fleet; digests mend what gets lost.
-        """
-        if not self.is_relay():
-            self.news.clear()
-            return []
-        actions: list[gossip.MembershipAction] = []
-        for centre in self.news.centres(self.settings.centres_per_round):
-            actions += self._send_news(centre)
-        centres = self._other_centres()
-        if centres and self.round % self.settings.digest_every == 0:
-            target = self._remote_target(self.rng.choice(centres))
-            if target is not None:
-                digest = self.store.digest()
-                actions.append(gossip.SendDigest(target, digest))
-        return actions
-
-    def _send_news(self, centre: str) -> list[gossip.MembershipAction]:
-        target = self._remote_target(centre)
-        if target is None:
-            return []
-        keys = self.news.take(centre, self.settings.news_at_once)
-        found = [self.store.get(key) for key in keys]
-        rumours = tuple(rumour for rumour in found if rumour is not None)
-        return [gossip.SendRumours(target, rumours)]
-
-    def _other_centres(self) -> list[str]:
-        centres = {m.place.data_centre for m in self.members.values()}
-        return sorted(centres - {self.me.place.data_centre})
-
-    def _remote_target(self, data_centre: str) -> str | None:
-        """Return a relay; now and then another, if the relays are gone."""
-        known = self.live_in(data_centre)
-        if not known:
-            return None
-        if self.rng.random() < OTHER_THAN_RELAY:
-            return self.rng.choice(known)
-        return self.rng.choice(self.relays_of(data_centre))
-
     def _forget_dead(self) -> None:
         oldest_ms = self.clock.now_ms() - self.settings.forget_ms
         for name, since_ms in list(self.dead_at_ms.items()):
--- a/poplarloft/coordination/retries.py
+++ b/poplarloft/coordination/retries.py
@@ -148,7 +148,7 @@
         self.failures.append(failure)
         if not self._may_repeat():
             return self._give_up(state.Reason.UPSTREAM_FAILED)
-        if len(self.failures) >= self.max_attempts:
+        if self._attempts_made() >= self.max_attempts:
             return self._give_up(state.Reason.UPSTREAM_FAILED)
         if self.clock.now_ms() >= self.deadline_ms:
             return self._give_up(state.Reason.DEADLINE)
@@ -165,6 +165,17 @@
             )
         )
 
+    def _attempts_made(self) -> int:
+        """Return how many attempts reached an upstream.
+
+        A refused connection costs no time and no upstream any work, so
+        it counts against the retry budget only.
+        """
+        return sum(
+            failure.kind is not FailureKind.CONNECT_REFUSED
+            for failure in self.failures
+        )
+
     def _may_repeat(self) -> bool:
         return self.repeatable or self.verdict is state.Verdict.NOT_RUN
 
--- a/poplarloft/coordination/tests/test_requests.py
+++ b/poplarloft/coordination/tests/test_requests.py
@@ -311,3 +311,18 @@
     clock.advance(guard.settings.quarantine_ms)
     assert guard.forget_old() == [("quarantine", "f1")]
     assert guard.quarantined == {}
+
+
+def test_refused_connections_leave_the_attempts_to_others():
+    clock = state.ManualClock()
+    budget = coordination.RetryBudget(clock)
+    plan = coordination.AttemptPlan(clock, budget, True, 5_000, 2)
+    kind = coordination.FailureKind
+    for name in ("a", "b", "c"):
+        action = plan.on_failure(
+            coordination.Failure(name, kind.CONNECT_REFUSED)
+        )
+        assert isinstance(action, coordination.TryAgain)
+    plan.on_failure(coordination.Failure("d", kind.RESET_AFTER_SEND))
+    action = plan.on_failure(coordination.Failure("e", kind.TIMEOUT))
+    assert isinstance(action, coordination.GiveUp)
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -4,11 +4,11 @@
 from collections import abc
 import dataclasses
 
-import eliot
 from returns import result
 
 from poplarloft import coordination
 from poplarloft.daemon import calls
+from poplarloft.daemon import flights
 from poplarloft.daemon import resuming
 from poplarloft.daemon import upstreams
 from poplarloft.protocol import http
@@ -21,8 +21,6 @@
 CRASH_CHECK_MS = 300
 HEAD_START_MS = 20
 PLACE_WAIT_MS = 100
-PURPOSE_ANSWERED = "answered"
-PURPOSE_FAILED = "failed"
 MS_PER_S = 1_000
 RESET_KINDS = frozenset(
     {
@@ -36,31 +34,6 @@
 RumourSink = abc.Callable[[state.Rumour], None]
 
 
-@dataclasses.dataclass(slots=True)
-class _Flight:
-    """One attempt in flight; called once when it has ended."""
-
-    dispatcher: "Dispatcher"
-    call: calls.RelayCall
-    upstream: state.Upstream
-    load_ticket: int
-    guard_ticket: int
-    started_at_ms: int
-    purpose: str = PURPOSE_FAILED
-
-    def __call__(self) -> None:
-        name, incarnation = self.upstream.name, self.upstream.incarnation
-        dispatcher = self.dispatcher
-        dispatcher.upstreams.load.on_done(name, self.load_ticket)
-        dispatcher.guard.on_done(name, incarnation, self.guard_ticket)
-        dispatcher.meter.add(
-            self.call.owner,
-            self.upstream.kind.value,
-            self.purpose,
-            dispatcher.clock.now_ms() - self.started_at_ms,
-        )
-
-
 class Dispatcher:
     """Attempts at upstreams: choice, health, crashes, retries.
 
@@ -116,7 +89,7 @@
         while True:
             standing = self.guard.standing(call.fingerprint)
             if standing is coordination.Standing.QUARANTINED:
-                return result.Failure(_quarantined(plan))
+                return result.Failure(flights.quarantined(plan))
             candidates = self._candidates(call, standing, excluded)
             if not candidates and self._may_wait(call, standing):
                 # Another suspect's run or a restart ends soon.
@@ -184,7 +157,7 @@
         outcome = await self._send(call, upstream)
         match outcome:
             case result.Success(http.HttpResponse(body=body) as response):
-                finish.purpose = PURPOSE_ANSWERED
+                finish.purpose = flights.PURPOSE_ANSWERED
                 self.health.on_success(name)
                 if not isinstance(body, bytes):
                     watched = self._watch_stream(body, upstream, finish)
@@ -225,7 +198,7 @@
         match outcome:
             case result.Success(http.HttpResponse(body=body) as response):
                 if not isinstance(body, bytes):
-                    finish.purpose = PURPOSE_ANSWERED
+                    finish.purpose = flights.PURPOSE_ANSWERED
                     rest = self._watch_stream(body, upstream, finish)
                     return result.Success(
                         dataclasses.replace(response, body=rest)
@@ -252,10 +225,10 @@
         call: calls.RelayCall,
         upstream: state.Upstream,
         route_request: coordination.RouteRequest,
-    ) -> "_Flight":
+    ) -> flights.Flight:
         """Count a request in flight; the result ends the count."""
         name, incarnation = upstream.name, upstream.incarnation
-        return _Flight(
+        return flights.Flight(
             self,
             call,
             upstream,
@@ -268,7 +241,7 @@
         self,
         body: abc.AsyncIterator[bytes],
         upstream: state.Upstream,
-        finish: "_Flight",
+        finish: flights.Flight,
     ) -> abc.AsyncIterator[bytes]:
         """Yield a streamed body; take its break for a possible crash."""
         try:
@@ -311,7 +284,7 @@
                 rumours = self.guard.on_crash(name, incarnation)
                 for rumour in rumours:
                     self.spread(rumour)
-                    _log_quarantine(rumour)
+                    flights.log_quarantine(rumour)
                 # Strikes must reach the neighbours before a resend does.
                 await asyncio.sleep(HEAD_START_MS / MS_PER_S)
 
@@ -387,21 +360,3 @@
             budget = coordination.RetryBudget(self.clock)
             self.budgets[call.flow_key] = budget
         return budget
-
-
-def _log_quarantine(rumour: state.Rumour) -> None:
-    if isinstance(rumour, state.QuarantineRumour):
-        eliot.log_message(
-            "quarantine",
-            fingerprint=rumour.fingerprint,
-            until_ms=rumour.until_ms,
-        )
-
-
-def _quarantined(plan: coordination.AttemptPlan) -> state.Refusal:
-    return state.Refusal(
-        state.Reason.QUARANTINED,
-        plan.verdict,
-        "requests with this body crashed upstreams and are quarantined; "
-        "an operator can release the fingerprint",
-    )
--- /dev/null
+++ b/poplarloft/transport/connections.py
@@ -0,0 +1,134 @@
+"""One client connection of HTTP/1.1 and the exchanges on it."""
+
+import asyncio
+import re
+import socket
+import time
+
+import h11
+
+from poplarloft.protocol import http
+
+__all__ = ["Connection", "read_head", "write_and_read"]
+
+READ_BYTES = 65_536
+Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+MAX_HEAD_BYTES = 65_536
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+EXPIRY_MARGIN_S = 0.3  # a request sent in the last moment is reset
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+
+class Connection:
+    """One connection and the state of its current exchange."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.expires_s = float("inf")
+        _probe_silence(writer)
+
+    def heed_keep_alive(self, value: str) -> None:
+        """Note how long the peer keeps the connection when idle."""
+        found = KEEP_ALIVE_TIMEOUT.search(value)
+        if found is not None:
+            idle_s = int(found[1]) - EXPIRY_MARGIN_S
+            self.expires_s = time.monotonic() + idle_s
+
+    def is_open(self) -> bool:
+        """Tell whether an idle connection may carry a request."""
+        return (
+            not self.reader.at_eof()
+            and not self.writer.is_closing()
+            and time.monotonic() < self.expires_s
+        )
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.writer.transport.abort()
+
+    def is_reusable(self) -> bool:
+        """Tell whether another exchange may follow."""
+        states = self.http.states
+        return (
+            states[h11.CLIENT] is h11.DONE
+            and states[h11.SERVER] is h11.DONE
+            and not self.http.trailing_data[0]
+            and not self.reader.at_eof()
+            and not self.writer.is_closing()
+        )
+
+    async def next_event(self) -> Event:
+        """Return the next event, reading from the socket as needed."""
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.http.receive_data(await self.reader.read(READ_BYTES))
+
+    def buffered_event(self) -> Event:
+        """Return the next event that needs no further reading."""
+        return self.http.next_event()
+
+
+def _probe_silence(writer: asyncio.StreamWriter) -> None:
+    """Have the kernel probe an idle connection, which may be dead."""
+    sock = writer.get_extra_info("socket")
+    if sock is None or sock.family is not socket.AF_INET:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+
+
+async def write_and_read(
+    connection: Connection, request: h11.Request, body: http.BodyStream
+) -> h11.Response:
+    """Send a body in pieces; an answer may come before its end.
+
+    Then nothing more of it is sent, and the connection can't be used
+    again.
+    """
+    loop = asyncio.get_running_loop()
+    writing = loop.create_task(_write_stream(connection, request, body))
+    reading = loop.create_task(read_head(connection))
+    try:
+        await asyncio.wait(
+            {writing, reading}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not reading.done():
+            await writing
+        return await reading
+    finally:
+        for task in (writing, reading):
+            task.cancel()
+        await asyncio.gather(writing, reading, return_exceptions=True)
+
+
+async def _write_stream(
+    connection: Connection, request: h11.Request, body: http.BodyStream
+) -> None:
+    connection.writer.write(connection.http.send(request) or b"")
+    async for piece in body.pieces:
+        sent = connection.http.send(h11.Data(data=piece))
+        connection.writer.write(sent or b"")
+        await connection.writer.drain()
+    connection.writer.write(connection.http.send(h11.EndOfMessage()) or b"")
+    await connection.writer.drain()
+
+
+async def read_head(connection: Connection) -> h11.Response:
+    while True:
+        event = await connection.next_event()
+        if isinstance(event, h11.Response):
+            return event
+        if isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError("connection closed before an answer")
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -2,10 +2,7 @@
 
 import asyncio
 from collections import abc
-import re
-import socket
 import ssl
-import time
 
 import h11
 from returns import result
@@ -14,19 +11,12 @@
 from poplarloft.protocol import errors as protocol_errors
 from poplarloft.protocol import http
 from poplarloft import state
+from poplarloft.transport import connections
 from poplarloft.transport import errors
 
 __all__ = ["AnswerCut", "HttpClient", "UpstreamAnswer"]
 
-READ_BYTES = 65_536
-Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
-MAX_HEAD_BYTES = 65_536
 MS_PER_S = 1_000
-PROBE_IDLE_S = 1
-PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
-EXPIRY_MARGIN_S = 0.3  # a request sent in the last moment is reset
-KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 FailureKind = retries.FailureKind
 
 
@@ -34,63 +24,6 @@
     """An answer's body ended before its end mark."""
 
 
-class _Connection:
-    """One connection and the state of its current exchange."""
-
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-        self.expires_s = float("inf")
-        _probe_silence(writer)
-
-    def heed_keep_alive(self, value: str) -> None:
-        """Note how long the peer keeps the connection when idle."""
-        found = KEEP_ALIVE_TIMEOUT.search(value)
-        if found is not None:
-            idle_s = int(found[1]) - EXPIRY_MARGIN_S
-            self.expires_s = time.monotonic() + idle_s
-
-    def is_open(self) -> bool:
-        """Tell whether an idle connection may carry a request."""
-        return (
-            not self.reader.at_eof()
-            and not self.writer.is_closing()
-            and time.monotonic() < self.expires_s
-        )
-
-    def close(self) -> None:
-        """Close the connection at once."""
-        self.writer.transport.abort()
-
-    def is_reusable(self) -> bool:
-        """Tell whether another exchange may follow."""
-        states = self.http.states
-        return (
-            states[h11.CLIENT] is h11.DONE
-            and states[h11.SERVER] is h11.DONE
-            and not self.http.trailing_data[0]
-            and not self.reader.at_eof()
-            and not self.writer.is_closing()
-        )
-
-    async def next_event(self) -> Event:
-        """Return the next event, reading from the socket as needed."""
-        while True:
-            event = self.http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self.http.receive_data(await self.reader.read(READ_BYTES))
-
-    def buffered_event(self) -> Event:
-        """Return the next event that needs no further reading."""
-        return self.http.next_event()
-
-
 class UpstreamAnswer:
     """The head of an answer, and its body as it arrives.
 
@@ -103,7 +36,7 @@
         self,
         pool: "HttpClient",
         address: state.Address,
-        connection: _Connection,
+        connection: connections.Connection,
         head: h11.Response,
         idle_timeout_ms: int,
     ) -> None:
@@ -214,7 +147,7 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.max_idle = max_idle
         self.tls = tls
-        self.idle: dict[state.Address, list[_Connection]] = {}
+        self.idle: dict[state.Address, list[connections.Connection]] = {}
 
     async def send(
         self,
@@ -262,7 +195,7 @@
         raise AssertionError(opened)
 
     def give_back(
-        self, address: state.Address, connection: _Connection
+        self, address: state.Address, connection: connections.Connection
     ) -> None:
         """Keep a connection for later, if it can be used again."""
         idle = self.idle.setdefault(address, [])
@@ -284,7 +217,7 @@
 
     async def _open(
         self, address: state.Address, fresh: bool
-    ) -> result.Result[_Connection, errors.TransportFailure]:
+    ) -> result.Result[connections.Connection, errors.TransportFailure]:
         idle = self.idle.get(address, [])
         while idle and not fresh:
             connection = idle.pop()
@@ -309,12 +242,12 @@
                     FailureKind.CONNECT_REFUSED, str(error)
                 )
             )
-        return result.Success(_Connection(reader, writer))
+        return result.Success(connections.Connection(reader, writer))
 
     async def _exchange(
         self,
         address: state.Address,
-        connection: _Connection,
+        connection: connections.Connection,
         request: h11.Request,
         body: bytes | http.BodyStream,
         timeout_ms: int,
@@ -324,9 +257,11 @@
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 if isinstance(body, bytes):
                     await self._write(connection, request, body)
-                    head = await _read_head(connection)
+                    head = await connections.read_head(connection)
                 else:
-                    head = await _write_and_read(connection, request, body)
+                    head = await connections.write_and_read(
+                        connection, request, body
+                    )
             return result.Success(
                 UpstreamAnswer(self, address, connection, head, timeout_ms)
             )
@@ -350,7 +285,10 @@
         return result.Failure(errors.TransportFailure(kind, detail))
 
     async def _write(
-        self, connection: _Connection, request: h11.Request, body: bytes
+        self,
+        connection: connections.Connection,
+        request: h11.Request,
+        body: bytes,
     ) -> None:
         parts = [connection.http.send(request)]
         if body:
@@ -360,62 +298,6 @@
         await connection.writer.drain()
 
 
-def _probe_silence(writer: asyncio.StreamWriter) -> None:
-    """Have the kernel probe an idle connection, which may be dead."""
-    sock = writer.get_extra_info("socket")
-    if sock is None or sock.family is not socket.AF_INET:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
-
-
-async def _write_and_read(
-    connection: _Connection, request: h11.Request, body: http.BodyStream
-) -> h11.Response:
-    """Send a body in pieces; an answer may come before its end.
-
-    Then nothing more of it is sent, and the connection can't be used
-    again.
-    """
-    loop = asyncio.get_running_loop()
-    writing = loop.create_task(_write_stream(connection, request, body))
-    reading = loop.create_task(_read_head(connection))
-    try:
-        await asyncio.wait(
-            {writing, reading}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not reading.done():
-            await writing
-        return await reading
-    finally:
-        for task in (writing, reading):
-            task.cancel()
-        await asyncio.gather(writing, reading, return_exceptions=True)
-
-
-async def _write_stream(
-    connection: _Connection, request: h11.Request, body: http.BodyStream
-) -> None:
-    connection.writer.write(connection.http.send(request) or b"")
-    async for piece in body.pieces:
-        sent = connection.http.send(h11.Data(data=piece))
-        connection.writer.write(sent or b"")
-        await connection.writer.drain()
-    connection.writer.write(connection.http.send(h11.EndOfMessage()) or b"")
-    await connection.writer.drain()
-
-
-async def _read_head(connection: _Connection) -> h11.Response:
-    while True:
-        event = await connection.next_event()
-        if isinstance(event, h11.Response):
-            return event
-        if isinstance(event, h11.ConnectionClosed):
-            raise ConnectionResetError("connection closed before an answer")
-
-
 def _request(
     address: state.Address,
     method: str,
