Share watches within a data centre

Cause: on the grown sites calls to the store are the largest price, most of them watches of each daemon that return with each change. Entries look at upstreams at 0.6 of the time within which a leaving one must be heeded.

Ruled out: stale reads at a tenth of the price (seconds old).

--- a/poplarloft/coordination/serving/paths.py
+++ b/poplarloft/coordination/serving/paths.py
@@ -9,6 +9,7 @@
 
 DIRECT = ""
 REFUSED_MS = 3_000
+MAX_REFUSED_MS = 60_000
 AWAY_MS = 700
 MAX_PEERS = 2
 
@@ -33,6 +34,7 @@
         self.rng = rng
         self.peers: tuple[str, ...] = ()
         self.refused_until_ms: dict[str, int] = {}
+        self.refusals: dict[str, int] = {}
         self.good_peer = ""
         self.away_until_ms = 0
 
@@ -45,29 +47,36 @@
         now_ms = self.clock.now_ms()
         if now_ms < self.away_until_ms:
             return [DIRECT]
-        usable = [
-            peer
-            for peer in self.peers
-            if self.refused_until_ms.get(peer, 0) <= now_ms
-        ]
+        usable = [peer for peer in self.peers if self.is_usable(peer)]
         self.rng.shuffle(usable)
         usable.sort(key=lambda peer: peer != self.good_peer)
         ways = usable[:MAX_PEERS]
-        if self.refused_until_ms.get(DIRECT, 0) <= now_ms:
+        if self.is_usable(DIRECT):
             return [DIRECT, *ways]
         return [*ways, DIRECT]
 
     def on_answer(self, way: str) -> None:
         """Note that the store answered."""
         self.refused_until_ms.pop(way, None)
+        self.refusals.pop(way, None)
         self.away_until_ms = 0
         if way != DIRECT:
             self.good_peer = way
 
     def on_refused(self, way: str) -> None:
-        """Note a call that was refused or not answered."""
-        until_ms = self.clock.now_ms() + REFUSED_MS
-        self.refused_until_ms[way] = until_ms
+        """Note a call that was refused or not answered.
+
+        A peer that goes on refusing is tried less and less; the direct
+        way is not, since peers stand in for it meanwhile.
+        """
+        count = 0 if way == DIRECT else self.refusals.get(way, 0)
+        self.refusals[way] = count + 1
+        rest_ms = min(MAX_REFUSED_MS, REFUSED_MS * 2**count)
+        self.refused_until_ms[way] = self.clock.now_ms() + rest_ms
+
+    def is_usable(self, way: str) -> bool:
+        """Tell whether a way has not failed just now."""
+        return self.refused_until_ms.get(way, 0) <= self.clock.now_ms()
 
     def on_all_refused(self) -> None:
         """Note a call that failed on each way."""
--- /dev/null
+++ b/poplarloft/coordination/serving/tests/test_paths.py
@@ -0,0 +1,55 @@
+"""Ways of calls to the store."""
+
+import random
+
+from poplarloft.coordination import serving
+from poplarloft import state
+
+
+def made():
+    clock = state.ManualClock()
+    choice = serving.PathChoice(clock, random.Random(0))
+    choice.see_peers(["a", "b", "c"])
+    return clock, choice
+
+
+def test_direct_way_goes_first_and_some_peers_follow():
+    _, choice = made()
+    ways = choice.ways()
+    assert ways[0] == serving.DIRECT
+    assert len(ways) == 3
+
+
+def test_refused_direct_way_rests():
+    clock, choice = made()
+    choice.on_refused(serving.DIRECT)
+    assert choice.ways()[-1] == serving.DIRECT
+    clock.advance(3_001)
+    assert choice.ways()[0] == serving.DIRECT
+
+
+def test_peer_that_carried_a_call_is_asked_again():
+    _, choice = made()
+    choice.on_refused(serving.DIRECT)
+    choice.on_answer("c")
+    assert all(choice.ways()[0] == "c" for _ in range(10))
+
+
+def test_peer_that_goes_on_refusing_is_tried_less_and_less():
+    clock, choice = made()
+    choice.on_refused("a")
+    clock.advance(3_001)
+    assert choice.is_usable("a")
+    choice.on_refused("a")
+    clock.advance(3_001)
+    assert not choice.is_usable("a")
+    choice.on_answer("a")
+    assert choice.is_usable("a")
+
+
+def test_store_that_is_away_costs_one_call():
+    clock, choice = made()
+    choice.on_all_refused()
+    assert choice.ways() == [serving.DIRECT]
+    clock.advance(701)
+    assert len(choice.ways()) == 3
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -30,6 +30,7 @@
 FAR_MS = 60.0
 NEAR_MS = 2.0
 EXIT_MARGIN_MS = 500
+LOOK_SHARE = 0.6  # of the time within which a leaving upstream is heeded
 
 
 class EntryDaemon:
@@ -51,10 +52,15 @@
             self.client,
             addresses.parse_address(settings.store),
             serving.PathChoice(self.clock, self.rng),
+            self.clock,
+            settings.name,
+            settings.data_centre,
         )
         self.relay = relaying.CallRelay(self.client, self.store, settings.name)
         self.operator = view.OperatorView()
-        self.samplers = view.SamplerView(self.clock)
+        self.samplers = view.SamplerView(
+            self.clock, int(LOOK_SHARE * settings.leaving_bound_ms)
+        )
         self.regions = settings.region_of()
         self.forwarder = forwarding.Forwarder(
             self.clock,
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/view.py
@@ -15,7 +15,6 @@
 
 __all__ = ["OperatorView", "SamplerView"]
 
-SAMPLER_PAUSE_MS = 1_200
 Told = abc.Callable[[], None]
 
 
@@ -112,9 +111,7 @@
         Time between two looks at changes.
     """
 
-    def __init__(
-        self, clock: state.Clock, pause_ms: int = SAMPLER_PAUSE_MS
-    ) -> None:
+    def __init__(self, clock: state.Clock, pause_ms: int) -> None:
         self.registry = serving.SamplerRegistry(clock)
         self.pause_ms = pause_ms
         self.listeners: list[Told] = []
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft import state
 
@@ -24,7 +25,9 @@
     "encode_head",
     "encode_record",
     "decode_held",
+    "decode_member",
     "encode_held",
+    "encode_member",
     "ended_key",
     "head_key",
     "lot_key",
@@ -99,6 +102,20 @@
     return f"{batches_prefix(lot_id)}{HEAD_NUMBER:06d}"
 
 
+def encode_member(address: state.Address, data_centre: str) -> bytes:
+    """Return the value of a daemon's key."""
+    return f"{address} {data_centre}".encode()
+
+
+def decode_member(value: bytes) -> tuple[state.Address, str]:
+    """Return a daemon's address and data centre; raises `ProtocolError`."""
+    try:
+        address, _, data_centre = value.decode().partition(" ")
+    except UnicodeDecodeError as error:
+        raise errors.FieldError("member", str(error)) from error
+    return addresses.parse_address(address), data_centre
+
+
 def member_key(name: str) -> str:
     """Return the key with a daemon's address for carried calls."""
     return f"{MEMBERS_PREFIX}{name}"
--- a/poplarloft_soak/processes.py
+++ b/poplarloft_soak/processes.py
@@ -15,13 +15,25 @@
 DATA_CENTRE = "z"
 DRAIN_NOTICE_MS = 600
 GRACE_S = 6
+HOSTS = 250
+
+
+def own_host() -> str:
+    """Return a loopback number of this process alone.
+
+    Ports that are free now stay free there: no other soak listens there,
+    and connections have another number as their source.
+    """
+    high, low = divmod(os.getpid(), HOSTS)
+    return f"127.{1 + high % HOSTS}.{low}.1"
 
 
 def free_address() -> state.Address:
-    """Return an address on the loopback that nobody listens on."""
+    """Return an address that nobody listens on."""
+    host = own_host()
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return state.Address("127.0.0.1", probe.getsockname()[1])
+        probe.bind((host, 0))
+        return state.Address(host, probe.getsockname()[1])
 
 
 class DaemonProcess:
