Heed leaving upstreams in time beside shared watches

Answers are kept for 0.5 s, entries look each 0.25 of the bound, a dead or blind hub costs 1.3 and 1.5 s; tests hold the sum, and fail with the figures before.

--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -30,7 +30,7 @@
 FAR_MS = 60.0
 NEAR_MS = 2.0
 EXIT_MARGIN_MS = 500
-LOOK_SHARE = 0.6  # of the time within which a leaving upstream is heeded
+LOOK_SHARE = 0.25  # of the time within which a leaving upstream is heeded
 
 
 class EntryDaemon:
--- a/poplarloft/daemon/serving/sharing.py
+++ b/poplarloft/daemon/serving/sharing.py
@@ -11,8 +11,8 @@
 
 __all__ = ["SharedWatches"]
 
-STORE_WAIT_MS = 1_500  # bounds how long a dead watch keeps peers waiting
-KEEP_MS = 3_000
+STORE_WAIT_MS = 1_000  # bounds how long a dead watch keeps peers waiting
+KEEP_MS = 500  # an answer kept longer would hide what came after it
 MS_PER_S = 1_000
 Answer = result.Result[state.Changes, state.StoreFailure]
 
--- a/tests/test_serving_store_paths.py
+++ b/tests/test_serving_store_paths.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from poplarloft.daemon.serving import entry
+from poplarloft.daemon.serving import relaying
+from poplarloft.daemon.serving import sharing
 from poplarloft.platform import store as platform_store
 from poplarloft import state
 from tests import serving_fleet
@@ -72,3 +75,27 @@
             lambda d=daemon: d.operator.configuration.version == 9,
             timeout_s=11,
         )
+
+
+async def test_kept_answer_does_not_hide_later_changes(fleet):
+    await let_know_each_other(fleet)
+    shared = fleet.bulks[0].store.shared
+    question = platform_store.WatchQuestion("q/", fleet.store.revision, 800)
+    first = asyncio.create_task(shared.ask(question))
+    await asyncio.sleep(0.05)
+    await fleet.store.put("q/1", b"value")
+    await first
+    await fleet.store.put("q/2", b"value")
+    await asyncio.sleep(0.6)
+    answer = await shared.ask(question)
+    keys = [change.key for change in answer.unwrap().changes]
+    assert keys == ["q/1", "q/2"]
+
+
+def test_news_of_leaving_arrives_in_time_also_beside_a_dead_hub():
+    bound_ms = 3_000
+    pause_ms = entry.LOOK_SHARE * bound_ms
+    dead_hub_ms = relaying.HUB_WAIT_MS + relaying.HUB_SLACK_MS
+    blind_hub_ms = sharing.STORE_WAIT_MS + relaying.HUB_SLACK_MS
+    for late_ms in (dead_hub_ms, blind_hub_ms, sharing.KEEP_MS + pause_ms):
+        assert pause_ms + late_ms < bound_ms - 500
