--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -149,9 +149,10 @@
         """Take over the texts of another runner."""
         self.inherited = dict(inheritance.copies)
 
-    def drop_kept(self, item_id: str) -> None:
+    def drop_kept(self, text: texts.ItemText) -> None:
         """Forget a kept text that no lot asked for."""
-        self.kept.pop(item_id, None)
+        if self.kept.get(text.item.id) is text:
+            del self.kept[text.item.id]
 
     def see_engines(self, samplers: abc.Iterable[state.Sampler]) -> None:
         """Take the engines that may get items now."""
--- a/poplarloft/coordination/serving/tests/test_planning.py
+++ b/poplarloft/coordination/serving/tests/test_planning.py
@@ -148,3 +148,13 @@
     loader.name_version(state.WeightsTarget("m", 3))
     loader.name_version(state.WeightsTarget("m", 2))
     assert loads(planner, loader) == []
+
+
+def test_kept_text_that_no_lot_takes_is_forgotten():
+    _, planner = made(sampler("a"))
+    plan = planner.add_lot(lot(1), ROUTE, 1_000, ())
+    text = plan.groups["g0"][0]
+    planner.end_lot("a")
+    assert planner.kept == {"i0": text}
+    planner.drop_kept(text)
+    assert planner.kept == {}
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -1,32 +1,27 @@
 """The duty `bulk`: runs lots, orders weights, answers retirements."""
 
 import asyncio
-import random
 
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import relaying
+from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving import runner
 from poplarloft.daemon.serving import standby
 from poplarloft.daemon.serving import tenure
-from poplarloft.daemon import tasks
 from poplarloft.platform import documents
 from poplarloft.platform import names
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
 from poplarloft import state
-from poplarloft.transport import http_client
 
 __all__ = ["BulkDaemon"]
 
 MS_PER_S = 1_000
-FAR_MS = 60.0
-NEAR_MS = 2.0
 
 
-class BulkDaemon:
+class BulkDaemon(base.ServingBase):
     """One daemon that runs lots when it holds the duty.
 
     It keeps nothing on its disk.
@@ -38,22 +33,7 @@
     """
 
     def __init__(self, settings: serving_settings.ServingSettings) -> None:
-        self.settings = settings
-        self.clock = state.MonotonicClock()
-        self.wall_clock = state.WallClock()
-        self.rng = random.Random()
-        self.task_set = tasks.TaskSet()
-        self.client = http_client.HttpClient()
-        self.store = relaying.RelayedStore(
-            self.client,
-            addresses.parse_address(settings.store),
-            serving.PathChoice(self.clock, self.rng),
-            self.clock,
-            settings.name,
-            settings.data_centre,
-        )
-        self.relay = relaying.CallRelay(self.client, self.store, settings.name)
-        self.regions = settings.region_of()
+        super().__init__(settings)
         self.link = standby.StandbyLink(
             self.clock,
             settings.name,
@@ -73,11 +53,7 @@
         self.tenure = tenure.Tenure(
             self.clock, self.store, me, self.link, self._make_runner
         )
-        if self.settings.relay_listen is not None:
-            await self.relay.start(
-                addresses.parse_address(self.settings.relay_listen),
-                self.task_set,
-            )
+        await self.start_relay()
         self.task_set.spawn(self.tenure.run())
 
     async def stop(self) -> None:
@@ -101,8 +77,8 @@
             self.client,
             self.settings.name,
             fence,
-            serving.ExpectedTime(self.clock, self.rng, self._network_ms),
-            self._is_near,
+            self.make_balancer(),
+            self.is_near,
             int(self.settings.lot_kept_s * MS_PER_S),
         )
         made.operator.listeners.append(
@@ -127,11 +103,3 @@
             if answer.status is state.WriteStatus.APPLIED:
                 return
             await asyncio.sleep(1)
-
-    def _is_near(self, data_centre: str) -> bool:
-        return self.regions.get(data_centre) == self.settings.region
-
-    def _network_ms(self, data_centre: str) -> float:
-        if data_centre == self.settings.data_centre:
-            return 0.0
-        return NEAR_MS if self._is_near(data_centre) else FAR_MS
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -1,17 +1,14 @@
 """The duty `entry`: answers clients and trainers."""
 
 import asyncio
-import random
 
 import eliot
 from returns import result
 
-from poplarloft.coordination import serving
+from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving import forwarding
 from poplarloft.daemon.serving import lotdesk
-from poplarloft.daemon.serving import relaying
 from poplarloft.daemon.serving import view
-from poplarloft.daemon import tasks
 from poplarloft.platform import ingress
 from poplarloft.platform import lots
 from poplarloft.platform import samplers
@@ -21,19 +18,17 @@
 from poplarloft.protocol import lot_records
 from poplarloft.protocol import serving_settings
 from poplarloft import state
-from poplarloft.transport import http_client
 from poplarloft.transport import http_server
 
 __all__ = ["EntryDaemon"]
 
 MS_PER_S = 1_000
-FAR_MS = 60.0
-NEAR_MS = 2.0
 EXIT_MARGIN_MS = 500
+START_RETRY_MS = 100  # the first listing takes about that long
 LOOK_SHARE = 0.25  # of the time within which a leaving upstream is heeded
 
 
-class EntryDaemon:
+class EntryDaemon(base.ServingBase):
     """One daemon with clients.
 
     Parameters
@@ -43,35 +38,21 @@
     """
 
     def __init__(self, settings: serving_settings.ServingSettings) -> None:
-        self.settings = settings
-        self.clock = state.MonotonicClock()
-        self.rng = random.Random()
-        self.task_set = tasks.TaskSet()
-        self.client = http_client.HttpClient()
-        self.store = relaying.RelayedStore(
-            self.client,
-            addresses.parse_address(settings.store),
-            serving.PathChoice(self.clock, self.rng),
-            self.clock,
-            settings.name,
-            settings.data_centre,
-        )
-        self.relay = relaying.CallRelay(self.client, self.store, settings.name)
+        super().__init__(settings)
         self.operator = view.OperatorView()
         self.samplers = view.SamplerView(
             self.clock, int(LOOK_SHARE * settings.leaving_bound_ms)
         )
-        self.regions = settings.region_of()
         self.forwarder = forwarding.Forwarder(
             self.clock,
             self.samplers,
             samplers.SamplerClient(self.client),
-            serving.ExpectedTime(self.clock, self.rng, self._network_ms),
+            self.make_balancer(),
             self.rng,
         )
         self.desk = lotdesk.LotDesk(
             self.clock,
-            state.WallClock(),
+            self.wall_clock,
             self.store,
             int(settings.lot_kept_s * MS_PER_S),
         )
@@ -85,10 +66,7 @@
         settings = self.settings
         if settings.listen is None or settings.ready_listen is None:
             raise errors.FieldError("--listen", "expected with duty entry")
-        if settings.relay_listen is not None:
-            await self.relay.start(
-                addresses.parse_address(settings.relay_listen), self.task_set
-            )
+        await self.start_relay()
         self.operator.start(self.store, self.task_set)
         self.samplers.start(self.store, self.task_set)
         await self.readiness.start(
@@ -209,16 +187,14 @@
             verdict=state.Verdict.NOT_RUN.value,
             detail=detail,
         )
-        refusal = state.Refusal(reason, state.Verdict.NOT_RUN, detail)
+        retry_ms = None
+        if reason is state.Reason.NOT_READY:
+            retry_ms = START_RETRY_MS
+        refusal = state.Refusal(
+            reason, state.Verdict.NOT_RUN, detail, retry_ms
+        )
         return ingress.refusal_response(refusal)
 
-    def _network_ms(self, data_centre: str) -> float:
-        """Return the time to an upstream's place and back."""
-        if data_centre == self.settings.data_centre:
-            return 0.0
-        is_near = self.regions.get(data_centre) == self.settings.region
-        return NEAR_MS if is_near else FAR_MS
-
     def _make_server(
         self, handler: http_server.Handler
     ) -> http_server.HttpServer:
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -27,6 +27,7 @@
 TICK_MS = 200
 KEEP_RUNS_MS = 3_500  # most trainers ask for the next step by then
 KEEP_REWARDS_MS = 1_500
+FORGET_MS = 60_000
 MS_PER_S = 1_000
 SAMPLER_PAUSE_MS = 300
 
@@ -311,6 +312,8 @@
             loop.call_later(
                 KEEP_REWARDS_MS / MS_PER_S, self._stop_scoring, text
             )
+            loop.call_later(FORGET_MS / MS_PER_S, self.planner.drop_kept, text)
+        loop.call_later(FORGET_MS / MS_PER_S, self.ended.discard, lot_id)
         eliot.log_message("lot-stopped", request=lot_id)
         self.kick()
 
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -1,7 +1,5 @@
 """Paths, headers and keys of the users' platform."""
 
-__all__: list[str] = []
-
 READY_PATH = "/poplarloft/ready"
 LOT_PATH = "/poplarloft/lots/"
 ITEM_PATH = "/poplarloft/items/"
--- a/tests/test_serving_requests.py
+++ b/tests/test_serving_requests.py
@@ -38,8 +38,9 @@
     assert (await post(fleet, "/nowhere/1"))[0] == 404
     blind = await fleet.add_entry("entry-1")
     blind.operator.configuration = None
-    status, _, _ = await fleet.call("POST", "/p/1", daemon=blind)
+    status, headers, _ = await fleet.call("POST", "/p/1", daemon=blind)
     assert status == 503
+    assert float(headers["retry-after"]) > 0
 
 
 async def test_idempotent_request_is_tried_elsewhere(fleet):
