--- a/poplarloft/daemon/serving/follower.py
+++ b/poplarloft/daemon/serving/follower.py
@@ -106,7 +106,7 @@
                     self._on_answer()
                     for change in found.changes:
                         self.listener.on_change(change)
-                    self.revision = max(self.revision, found.revision)
+                    self.revision = found.seen_revision(self.revision)
                     await asyncio.sleep(self.pause_ms / MS_PER_S)
                 case result.Failure(state.StoreFailure() as failure):
                     if failure.kind is FailureKind.COMPACTED:
--- a/poplarloft/daemon/serving/lotdesk.py
+++ b/poplarloft/daemon/serving/lotdesk.py
@@ -220,7 +220,7 @@
             match answer:
                 case result.Success(state.Changes() as found):
                     held.take(c.entry for c in found.changes if c.entry)
-                    held.revision = max(held.revision, found.revision)
+                    held.revision = found.seen_revision(held.revision)
                     return None
         return await self._read_on(prefix, held)
 
--- a/poplarloft/daemon/serving/tenure.py
+++ b/poplarloft/daemon/serving/tenure.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import typing
 
 import eliot
@@ -37,6 +38,14 @@
         """End, leaving nothing under way."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Seen:
+    """The runner's key, and the store's revision at that time."""
+
+    entry: state.Entry | None
+    revision: int
+
+
 class Tenure:
     """Takes the duty when nobody has it, and gives it up in order.
 
@@ -119,20 +128,31 @@
         """Return the fencing number once the duty is ours."""
         if not self.may_hold:
             return None
-        found = await self.store.get(lot_records.RUNNER_KEY)
-        match found:
-            case result.Success(None):
-                return await self._write_holder(state.ABSENT)
-            case result.Success(state.Entry() as entry):
-                return await self._stand_by(entry)
+        seen = await self._look()
+        if seen is None:
+            return None
+        if seen.entry is None:
+            return await self._write_holder(state.ABSENT)
+        return await self._stand_by(seen.entry, seen.revision)
+
+    async def _look(self) -> _Seen | None:
+        """Return the key as it is now, None if the store can't tell.
+
+        A listing names the store's revision, from which a watch can go
+        on also when the key's own is out of the store's history.
+        """
+        page = await self.store.list_page(lot_records.RUNNER_KEY)
+        match page:
+            case result.Success(state.Page(entries=entries, revision=at)):
+                return _Seen(entries[0] if entries else None, at)
         return None
 
-    async def _stand_by(self, entry: state.Entry) -> int | None:
+    async def _stand_by(self, entry: state.Entry, revision: int) -> int | None:
         """Wait until the key goes, or its holder is taken for dead."""
         runner = standby_messages.decode_runner(entry.value)
         self.succession.follow(runner)
         waits = {
-            asyncio.ensure_future(self._await_change(entry.revision)),
+            asyncio.ensure_future(self._await_change(revision)),
             asyncio.ensure_future(self._await_silence()),
         }
         subscription = asyncio.ensure_future(self.link.subscribe(runner))
@@ -168,7 +188,6 @@
                 case result.Success(state.Changes() as found):
                     if found.changes:
                         return found.changes[-1].entry
-                    revision = max(revision, found.revision)
                 case result.Failure(state.StoreFailure() as failure):
                     if failure.kind is FailureKind.COMPACTED:
                         return None
@@ -180,13 +199,11 @@
         while True:
             entry = await self._await_change(revision)
             if entry is None:
-                found = await self.store.get(lot_records.RUNNER_KEY)
-                match found:
-                    case result.Success(state.Entry() as present):
-                        entry = present
-                    case _:
-                        await asyncio.sleep(RETRY_MS / MS_PER_S)
-                        continue
+                seen = await self._look()
+                if seen is None or seen.entry is None:
+                    await asyncio.sleep(RETRY_MS / MS_PER_S)
+                    continue
+                entry, revision = seen.entry, seen.revision
             revision = max(revision, entry.revision)
             if standby_messages.decode_runner(entry.value) != self.me:
                 self.succession.on_deposed()
--- a/poplarloft/state/revisions.py
+++ b/poplarloft/state/revisions.py
@@ -60,11 +60,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """What a watch returned; go on after `revision`."""
+    """What a watch returned, as of the store's `revision`.
+
+    A watch that returns nothing may have been deaf: only what it
+    returned has surely been seen.
+    """
 
     changes: tuple[Change, ...]
     revision: int
 
+    def seen_revision(self, before: int) -> int:
+        """Return the revision up to which all changes have been seen."""
+        return max((c.revision for c in self.changes), default=before)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expectation:
--- a/standins/revision_store.py
+++ b/standins/revision_store.py
@@ -33,6 +33,8 @@
     ----------
     is_down : bool
         Each call gets 503.
+    is_deaf : bool
+        Watches hear of no change.
     lost_writes : int
         So many of the next writes are done without an answer.
     late_writes : int
@@ -49,6 +51,7 @@
         self.lease_ms: dict[int, int] = {}
         self.changed = asyncio.Condition()
         self.is_down = False
+        self.is_deaf = False
         self.lost_writes = 0
         self.late_writes = 0
         self.late_ms = 300
@@ -159,6 +162,8 @@
         return _json({"events": events, "current_rev": self.revision})
 
     def _since(self, prefix: str, after: int) -> list[dict[str, object]]:
+        if self.is_deaf:
+            return []
         found: list[dict[str, object]] = []
         for revision, key, entry in self.log:
             if revision <= after or not key.startswith(prefix):
--- a/tests/test_serving_store_paths.py
+++ b/tests/test_serving_store_paths.py
@@ -99,3 +99,39 @@
     blind_hub_ms = sharing.STORE_WAIT_MS + relaying.HUB_SLACK_MS
     for late_ms in (dead_hub_ms, blind_hub_ms, sharing.KEEP_MS + pause_ms):
         assert pause_ms + late_ms < bound_ms - 500
+
+
+async def test_changes_that_watches_did_not_hear_are_listed(fleet):
+    await let_know_each_other(fleet)
+    fleet.store.is_deaf = True
+    await fleet.store.put("op/config", serving_fleet.configuration(9))
+    await asyncio.sleep(2.5)
+    fleet.store.is_deaf = False
+    fleet.store.forget_history()
+    for daemon in fleet.entries:
+        await serving_fleet.eventually(
+            lambda d=daemon: d.operator.configuration.version == 9
+        )
+
+
+async def test_results_that_a_watch_did_not_hear_are_read(fleet):
+    await fleet.submit("lot-a", serving_fleet.lot_body(4, events=60))
+    await fleet.read("lot-a")
+    fleet.store.is_deaf = True
+    await asyncio.sleep(1)
+    await fleet.read("lot-a")
+    fleet.store.is_deaf = False
+    fleet.store.forget_history()
+    assert len(await fleet.read_all("lot-a")) == 4
+
+
+async def test_runner_and_standby_are_quiet_when_history_is_gone(fleet):
+    await fleet.add_bulk("bulk-1")
+    await asyncio.sleep(0.5)
+    fleet.store.forget_history()
+    await fleet.store.put("other/key", b"")
+    fleet.store.forget_history()
+    await asyncio.sleep(0.5)
+    before = fleet.store.calls
+    await asyncio.sleep(2)
+    assert fleet.store.calls - before < 20
