List anew after a watch that was cut

A watch that is cut as history is dropped was at once asked again through a peer, was accepted from the old revision, and did not return what the deaf second had hidden.

--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -36,9 +36,6 @@
             self.client,
             addresses.parse_address(settings.store),
             serving.PathChoice(self.clock, self.rng),
-            self.clock,
-            settings.name,
-            settings.data_centre,
         )
         self.relay = relaying.CallRelay(self.client, self.store, settings.name)
         self.regions = settings.region_of()
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -25,7 +25,7 @@
 MS_PER_S = 1_000
 EXIT_MARGIN_MS = 500
 START_RETRY_MS = 100  # the first listing takes about that long
-LOOK_SHARE = 0.25  # of the time within which a leaving upstream is heeded
+LOOK_SHARE = 0.4  # of the time within which a leaving upstream is heeded
 
 
 class EntryDaemon(base.ServingBase):
--- a/poplarloft/daemon/serving/follower.py
+++ b/poplarloft/daemon/serving/follower.py
@@ -109,9 +109,10 @@
                     self.revision = found.seen_revision(self.revision)
                     await asyncio.sleep(self.pause_ms / MS_PER_S)
                 case result.Failure(state.StoreFailure() as failure):
-                    if failure.kind is FailureKind.COMPACTED:
-                        return
-                    await self._on_failure(failure)
+                    if failure.kind is not FailureKind.COMPACTED:
+                        await self._on_failure(failure)
+                    # A watch that was cut may have missed changes.
+                    return
 
     def _on_answer(self) -> None:
         self.backoff_ms = FIRST_BACKOFF_MS
--- a/poplarloft/daemon/serving/tenure.py
+++ b/poplarloft/daemon/serving/tenure.py
@@ -189,9 +189,9 @@
                     if found.changes:
                         return found.changes[-1].entry
                 case result.Failure(state.StoreFailure() as failure):
-                    if failure.kind is FailureKind.COMPACTED:
-                        return None
-                    await asyncio.sleep(RETRY_MS / MS_PER_S)
+                    if failure.kind is not FailureKind.COMPACTED:
+                        await asyncio.sleep(RETRY_MS / MS_PER_S)
+                    return None
 
     async def _await_other(self, fence: int) -> None:
         """Return once another daemon has taken the key."""
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 from collections import abc
-import dataclasses
 import typing
 from urllib import parse
 
@@ -15,12 +14,7 @@
 from poplarloft.transport import errors
 from poplarloft.transport import http_client
 
-__all__ = [
-    "PlatformStore",
-    "WatchQuestion",
-    "encode_changes",
-    "parse_watch",
-]
+__all__ = ["PlatformStore"]
 
 WATCH_SLACK_MS = 2_000  # an answer may be on its way when the wait ends
 OK = 200
@@ -76,47 +70,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchQuestion:
-    """A watch as a peer asks for it."""
-
-    prefix: str
-    after_revision: int
-    wait_ms: int
-
-
-def parse_watch(path: str, query: str) -> WatchQuestion | None:
-    """Return the watch that a call asks for, None for other calls."""
-    if path != names.STORE_WATCH_PATH:
-        return None
-    values = dict(parse.parse_qsl(query))
-    try:
-        return WatchQuestion(
-            values["prefix"], int(values["after"]), int(values["wait_ms"])
-        )
-    except (KeyError, ValueError):
-        return None
-
-
-def encode_changes(changes: state.Changes) -> bytes:
-    """Return the body of the answer to a watch."""
-    events = [
-        {"key": c.key, "revision": c.revision, "removed": True}
-        if c.entry is None
-        else {
-            "key": c.key,
-            "revision": c.revision,
-            "value": base64.b64encode(c.entry.value).decode("ascii"),
-            "create_rev": c.entry.created_revision,
-            "lease": c.entry.lease,
-        }
-        for c in changes.changes
-    ]
-    return msgspec.json.encode(
-        {"events": events, "current_rev": changes.revision}
-    )
-
-
 class PlatformStore:
     """The store at one address, as a `state.RevisionStore`.
 
@@ -128,8 +81,6 @@
         The store.
     timeout_ms : int
         Longest wait for an answer.
-    watch_slack_ms : int
-        Longest wait for a watch's answer after its own wait.
     """
 
     def __init__(
@@ -137,12 +88,10 @@
         client: http_client.HttpClient,
         address: state.Address,
         timeout_ms: int = 1_500,
-        watch_slack_ms: int = WATCH_SLACK_MS,
     ) -> None:
         self.client = client
         self.address = address
         self.timeout_ms = timeout_ms
-        self.watch_slack_ms = watch_slack_ms
         self.calls = 0
 
     async def get(self, key: str) -> Outcome[state.Entry | None]:
@@ -180,7 +129,7 @@
             after=str(after_revision),
             wait_ms=str(wait_ms),
         )
-        reply = await self._call("GET", target, wait_ms + self.watch_slack_ms)
+        reply = await self._call("GET", target, wait_ms + WATCH_SLACK_MS)
         if _status(reply) == GONE:
             detail = f"history after revision {after_revision} is gone"
             return _failure(FailureKind.COMPACTED, detail)
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -102,18 +102,17 @@
     return f"{batches_prefix(lot_id)}{HEAD_NUMBER:06d}"
 
 
-def encode_member(address: state.Address, data_centre: str) -> bytes:
+def encode_member(address: state.Address) -> bytes:
     """Return the value of a daemon's key."""
-    return f"{address} {data_centre}".encode()
+    return str(address).encode()
 
 
-def decode_member(value: bytes) -> tuple[state.Address, str]:
-    """Return a daemon's address and data centre; raises `ProtocolError`."""
+def decode_member(value: bytes) -> state.Address:
+    """Return a daemon's address; raises `ProtocolError`."""
     try:
-        address, _, data_centre = value.decode().partition(" ")
+        return addresses.parse_address(value.decode())
     except UnicodeDecodeError as error:
         raise errors.FieldError("member", str(error)) from error
-    return addresses.parse_address(address), data_centre
 
 
 def member_key(name: str) -> str:
