Take news of the store from two daemons of the fleet

Entries now ask two daemons of their group each 250 ms (feeds.py, prefix_book.py, feed_link.py). What these tell counts only while the store confirmed it less than 0.7 of the bound ago, reckoned from when it was asked for; else a daemon asks the store itself. Ruled out: one hub a data centre with pushed answers (tried before, broke DRAIN); news passed on without their age. Lists of members may be old (a tenth of the price). Engines rest after repeated losses, one item tries them. Waits: store 0.7 s, connections 0.4 s.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -7,6 +7,7 @@
 from poplarloft.coordination.serving.balancing import ExpectedTime
 from poplarloft.coordination.serving.copies import CopyPlan
 from poplarloft.coordination.serving.copies import Inheritance
+from poplarloft.coordination.serving.feeds import FeedReader
 from poplarloft.coordination.serving.logbook import AdoptBatch
 from poplarloft.coordination.serving.logbook import Logbook
 from poplarloft.coordination.serving.logbook import WriteBatch
@@ -18,6 +19,7 @@
 from poplarloft.coordination.serving.planning import LotPlan
 from poplarloft.coordination.serving.planning import Planner
 from poplarloft.coordination.serving.planning import StartItem
+from poplarloft.coordination.serving.prefix_book import PrefixBook
 from poplarloft.coordination.serving.registry import SamplerRegistry
 from poplarloft.coordination.serving.succession import Succession
 from poplarloft.coordination.serving.texts import BrokenOrder
@@ -25,21 +27,23 @@
 from poplarloft.coordination.serving.texts import Stage
 
 __all__ = [
-    "DIRECT",
-    "PathChoice",
     "AdoptBatch",
     "Balancer",
     "BrokenOrder",
     "CopyPlan",
+    "DIRECT",
     "EngineView",
     "ExpectedTime",
+    "FeedReader",
     "Inheritance",
     "ItemText",
     "LoadPlanner",
     "LoadVersion",
     "Logbook",
     "LotPlan",
+    "PathChoice",
     "Planner",
+    "PrefixBook",
     "SamplerRegistry",
     "Stage",
     "StartItem",
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -14,6 +14,9 @@
 PACE_SMOOTHING = 0.1
 STEP_TARGET_MS = 4_000
 FAILED_ENGINE_MS = 2_000
+FIRST_DOUBT_MS = 500
+MAX_DOUBT_MS = 4_000
+ONE_LOSS_MS = 300
 MOVE_GAIN_MS = 1_000.0  # a move costs prefill, a slot's wait, two trips
 MOVE_PACE_SHARE = 0.9
 REGION_COST_MS = 60.0
@@ -53,11 +56,44 @@
     pace_ms: float = FIRST_PACE_MS
     has_pace: bool = False
     failed_at_ms: int = -FAILED_ENGINE_MS
+    losses: int = 0
+    lost_at_ms: int = -ONE_LOSS_MS
+    doubted_until_ms: int = 0
 
     def has_room(self) -> bool:
         """Tell whether a slot is free."""
         return len(self.running) < self.sampler.slots
 
+    def may_start(self, now_ms: int) -> bool:
+        """Tell whether an item may be started here.
+
+        After a lost connection one item at a time is started until an
+        event comes; after further losses only now and then.
+        """
+        if now_ms < self.doubted_until_ms:
+            return False
+        if self.losses and self.running:
+            return False
+        return self.has_room()
+
+    def on_lost(self, now_ms: int) -> None:
+        """Note that a run's connection was lost or never came about.
+
+        Runs that are lost together count as one loss.
+        """
+        if now_ms - self.lost_at_ms < ONE_LOSS_MS:
+            return
+        self.lost_at_ms = now_ms
+        if self.losses:
+            doubt_ms = FIRST_DOUBT_MS * 2 ** (self.losses - 1)
+            self.doubted_until_ms = now_ms + min(MAX_DOUBT_MS, doubt_ms)
+        self.losses += 1
+
+    def on_alive(self) -> None:
+        """Note that the engine sends events."""
+        self.losses = 0
+        self.doubted_until_ms = 0
+
     def on_event(self, gap_ms: float) -> None:
         """Note the time between two events."""
         if not self.has_pace:
@@ -211,9 +247,11 @@
         is_faster = best_ms < MOVE_PACE_SHARE * view.pace_ms
         return is_faster and gain_ms > MOVE_GAIN_MS
 
-    def on_engine_failure(self, view: EngineView) -> None:
-        """Note that an engine broke off or refused."""
+    def on_engine_failure(self, view: EngineView, is_lost: bool) -> None:
+        """Note that an engine refused, or that its connection is lost."""
         view.failed_at_ms = self.clock.now_ms()
+        if is_lost:
+            view.on_lost(self.clock.now_ms())
 
     def _take_kept(
         self, lot: state.Lot, route: state.PathRoute, item: state.LotItem
@@ -254,11 +292,12 @@
     def _candidates(self, plan: LotPlan) -> list[EngineView]:
         """Return the engines that can start an item of a lot now."""
         model = plan.lot.model
+        now_ms = self.clock.now_ms()
         return [
             view
             for life, view in self.engines.items()
             if life in self.usable
-            and view.has_room()
+            and view.may_start(now_ms)
             and model not in view.loading
             and view.versions.get(model, 0) >= plan.lot.min_version
         ]
--- /dev/null
+++ b/poplarloft/coordination/serving/prefix_book.py
@@ -0,0 +1,87 @@
+"""What one daemon knows under one prefix of the store, and how well."""
+
+import collections
+from collections import abc
+
+from poplarloft import state
+
+__all__ = ["PrefixBook"]
+
+RECENT_CHANGES = 500
+NEVER_MS = -1_000_000_000
+
+
+class PrefixBook:
+    """The entries under a prefix, and until when nothing else changed.
+
+    Other daemons are told of it by `part`.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Monotonic time.
+    prefix : str
+        The prefix of the keys.
+    """
+
+    def __init__(self, clock: state.Clock, prefix: str) -> None:
+        self.clock = clock
+        self.prefix = prefix
+        self.revision = 0
+        self.entries: dict[str, state.Entry] = {}
+        self.recent: collections.deque[state.Change] = collections.deque(
+            maxlen=RECENT_CHANGES
+        )
+        self.whole_since = 0
+        self.confirmed_at_ms = NEVER_MS
+
+    def on_listing(
+        self,
+        entries: abc.Iterable[state.Entry],
+        revision: int,
+        confirmed_at_ms: int,
+    ) -> None:
+        """Take all that exists as of `revision`."""
+        self.entries = {entry.key: entry for entry in entries}
+        self.revision = revision
+        self.recent.clear()
+        self.whole_since = revision
+        self.confirm(confirmed_at_ms)
+
+    def take(
+        self, changes: abc.Iterable[state.Change], revision: int
+    ) -> list[state.Change]:
+        """Take all changes up to `revision`; return those that were new."""
+        fresh = [c for c in changes if c.revision > self.revision]
+        for change in fresh:
+            if len(self.recent) == RECENT_CHANGES:
+                self.whole_since = self.recent[0].revision
+            self.recent.append(change)
+            if change.entry is None:
+                self.entries.pop(change.key, None)
+            else:
+                self.entries[change.key] = change.entry
+        self.revision = max(self.revision, revision)
+        return fresh
+
+    def confirm(self, at_ms: int) -> None:
+        """Note that nothing else had changed at some time."""
+        self.confirmed_at_ms = max(self.confirmed_at_ms, at_ms)
+
+    def part(self, position: int) -> state.FeedPart:
+        """Return the news for a daemon that knows all up to `position`."""
+        is_whole = position < self.whole_since
+        if is_whole:
+            changes = tuple(
+                state.Change(key, entry.revision, entry)
+                for key, entry in self.entries.items()
+            )
+        else:
+            changes = tuple(c for c in self.recent if c.revision > position)
+        return state.FeedPart(
+            self.prefix,
+            self.revision,
+            self.clock.now_ms() - self.confirmed_at_ms,
+            changes,
+            is_whole,
+        )
--- a/poplarloft/coordination/serving/tests/test_planning.py
+++ b/poplarloft/coordination/serving/tests/test_planning.py
@@ -158,3 +158,49 @@
     assert planner.kept == {"i0": text}
     planner.drop_kept(text)
     assert planner.kept == {}
+
+
+def test_an_engine_that_lost_a_run_is_tried_by_one_item_at_a_time():
+    clock, planner = made(sampler("a", slots=4))
+    planner.add_lot(lot(6), ROUTE, 1_000, ())
+    first = planner.starts()
+    view = planner.engines[("a", 1)]
+    for start in first:
+        view.running.discard(start.run_id)
+        planner.on_engine_failure(view, is_lost=True)
+    planner.lots["a"].groups["g0"][0].stage = serving.Stage.WAITING
+    probe = planner.starts()
+    assert len(probe) == 1
+    assert planner.starts() == []
+    view.on_alive()
+    assert len(planner.starts()) >= 1
+
+
+def test_an_engine_that_goes_on_losing_runs_rests_longer_each_time():
+    clock, planner = made(sampler("a", slots=4))
+    view = planner.engines[("a", 1)]
+    rests = []
+    for _ in range(6):
+        clock.advance(5_000)
+        planner.on_engine_failure(view, is_lost=True)
+        now_ms = clock.now_ms()
+        rests.append(view.doubted_until_ms - now_ms)
+        assert view.may_start(now_ms) == (rests[-1] <= 0)
+    assert rests[1:] == [500, 1_000, 2_000, 4_000, 4_000]
+
+
+def test_other_engines_get_what_a_lost_one_had():
+    clock, planner = made(sampler("a", slots=9), sampler("b", slots=9))
+    view = planner.engines[("a", 1)]
+    for _ in range(2):
+        clock.advance(400)
+        planner.on_engine_failure(view, is_lost=True)
+    planner.add_lot(lot(6), ROUTE, clock.now_ms(), ())
+    assert {s.sampler.name for s in planner.starts()} == {"b"}
+
+
+def test_an_engine_that_refuses_a_run_is_not_taken_for_lost():
+    clock, planner = made(sampler("a", slots=9))
+    view = planner.engines[("a", 1)]
+    planner.on_engine_failure(view, is_lost=False)
+    assert view.may_start(clock.now_ms())
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -14,6 +14,7 @@
 
 FAR_MS = 60.0
 NEAR_MS = 2.0
+CONNECT_TIMEOUT_MS = 400
 
 
 class ServingBase:
@@ -31,7 +32,7 @@
         self.wall_clock = state.WallClock()
         self.rng = random.Random()
         self.task_set = tasks.TaskSet()
-        self.client = http_client.HttpClient()
+        self.client = http_client.HttpClient(CONNECT_TIMEOUT_MS)
         self.store = relaying.RelayedStore(
             self.client,
             addresses.parse_address(settings.store),
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from poplarloft.daemon.serving import base
+from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import forwarding
 from poplarloft.daemon.serving import lotdesk
 from poplarloft.daemon.serving import view
@@ -39,7 +40,7 @@
 
     def __init__(self, settings: serving_settings.ServingSettings) -> None:
         super().__init__(settings)
-        self.operator = view.OperatorView()
+        self.operator = view.OperatorView(self.clock)
         self.samplers = view.SamplerView(
             self.clock, int(LOOK_SHARE * settings.leaving_bound_ms)
         )
@@ -56,6 +57,7 @@
             self.store,
             int(settings.lot_kept_s * MS_PER_S),
         )
+        self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
         self.front = self._make_server(self.handle)
         self.readiness = self._make_server(self.answer_readiness)
@@ -66,14 +68,29 @@
         settings = self.settings
         if settings.listen is None or settings.ready_listen is None:
             raise errors.FieldError("--listen", "expected with duty entry")
+        self.start_feed()
         await self.start_relay()
-        self.operator.start(self.store, self.task_set)
-        self.samplers.start(self.store, self.task_set)
+        self.operator.start(self.store, self.task_set, self.feed)
+        self.samplers.start(self.store, self.task_set, self.feed)
         await self.readiness.start(
             addresses.parse_address(settings.ready_listen)
         )
         await self.front.start(addresses.parse_address(settings.listen))
 
+    def start_feed(self) -> None:
+        """Begin to share news of the store, if it is set."""
+        settings = self.settings
+        if settings.peer_listen is None:
+            return
+        bound_ms = min(
+            settings.leaving_bound_ms, settings.configuration_bound_ms
+        )
+        self.feed = feed_link.FeedLink(self.clock, settings.name, bound_ms)
+        self.feed.start(
+            addresses.parse_address(settings.peer_listen), self.task_set
+        )
+        self.relay.feed = self.feed
+
     async def stop(self) -> None:
         """Finish what is in flight, within the time that is granted."""
         self.is_stopping = True
@@ -85,6 +102,8 @@
         await self.readiness.drain(0)
         await self.relay.stop()
         await self.task_set.cancel_all()
+        if self.feed is not None:
+            self.feed.close()
         self.client.close()
         eliot.log_message("stopped", cut=cut, store_calls=self.store.calls)
 
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -26,9 +26,12 @@
 class _Stopped(Exception):
     """A run that ends before its text does."""
 
-    def __init__(self, why: str, blames_engine: bool = True) -> None:
+    def __init__(
+        self, why: str, blames_engine: bool = True, is_lost: bool = False
+    ) -> None:
         super().__init__(why)
         self.blames_engine = blames_engine
+        self.is_lost = is_lost
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,7 +156,7 @@
         if stopped.blames_engine:
             text.breaks += 1
             text.not_before_ms = self.clock.now_ms() + RETRY_MS
-            self.planner.on_engine_failure(run.view)
+            self.planner.on_engine_failure(run.view, stopped.is_lost)
 
     async def _generate(self, run: _Run) -> None:
         """Run a text to its end, or raise `_Stopped`."""
@@ -177,7 +180,9 @@
                 finally:
                     answer.close()
             case result.Failure(failure):
-                raise _Stopped(f"{failure.kind.value}: {failure.detail}")
+                raise _Stopped(
+                    f"{failure.kind.value}: {failure.detail}", is_lost=True
+                )
 
     async def _take_answer(
         self, run: _Run, answer: http_client.UpstreamAnswer
@@ -229,6 +234,7 @@
                     text.append(event.number, event.data, version)
                 if not events:
                     continue
+                view.on_alive()
                 now_ms = self.clock.now_ms()
                 if last_ms is not None:
                     view.on_event((now_ms - last_ms) / len(events))
@@ -239,7 +245,7 @@
                 if self.planner.should_move(run.plan, text, view):
                     raise _Stopped("moved to a faster engine", False)
         except http_client.AnswerCut as error:
-            raise _Stopped(f"cut: {error}") from error
+            raise _Stopped(f"cut: {error}", is_lost=True) from error
         except (ValueError, UnicodeDecodeError) as error:
             raise _Stopped(f"spoilt: {error}") from error
         if reader.buffer.strip():
--- a/poplarloft/daemon/serving/relaying.py
+++ b/poplarloft/daemon/serving/relaying.py
@@ -9,9 +9,11 @@
 
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon import tasks
 from poplarloft.platform import store as platform_store
 from poplarloft.protocol import errors
+from poplarloft.protocol import feeds
 from poplarloft.protocol import http
 from poplarloft.protocol import lot_records
 from poplarloft import state
@@ -78,11 +80,11 @@
         return await self._read(lambda store: store.get(key))
 
     async def list_page(
-        self, prefix: str, after_key: str = ""
+        self, prefix: str, after_key: str = "", may_be_old: bool = False
     ) -> Read[state.Page]:
         """Return entries under `prefix`, those after `after_key`."""
         return await self._read(
-            lambda store: store.list_page(prefix, after_key)
+            lambda store: store.list_page(prefix, after_key, may_be_old)
         )
 
     async def watch(
@@ -182,6 +184,7 @@
         self.client = client
         self.store = store
         self.name = name
+        self.feed: feed_link.FeedLink | None = None
         self.carried = 0
         self.server = http_server.HttpServer(
             self.handle,
@@ -226,9 +229,10 @@
 
     async def _follow_peers(self, bound: state.Address) -> None:
         """Write our address once; list all addresses now and then."""
+        feed = None if self.feed is None else self.feed.reader.address
         put = state.Put(
             lot_records.member_key(self.name),
-            lot_records.encode_member(bound),
+            feeds.encode_member(state.PeerRecord(bound, feed)),
         )
         while True:
             answer = await self.store.write([], [put])
@@ -246,7 +250,7 @@
         while has_more:
             after = entries[-1].key if entries else ""
             page = await self.store.list_page(
-                lot_records.MEMBERS_PREFIX, after
+                lot_records.MEMBERS_PREFIX, after, may_be_old=True
             )
             match page:
                 case result.Success(state.Page() as found):
@@ -257,19 +261,23 @@
         self._take_peers(entries)
 
     def _take_peers(self, entries: list[state.Entry]) -> None:
-        peers = {}
+        members = {}
         for entry in entries:
             name = entry.key.removeprefix(lot_records.MEMBERS_PREFIX)
             try:
-                address = lot_records.decode_member(entry.value)
+                members[name] = feeds.decode_member(entry.value)
             except errors.ProtocolError as error:
                 eliot.log_message(
                     "entry-unreadable",
                     key=entry.key,
                     error=str(error),
                 )
-                continue
-            if name == self.name:
-                continue
-            peers[name] = address
-        self.store.see_peers(peers)
+        if self.feed is not None:
+            self.feed.see_members(members)
+        self.store.see_peers(
+            {
+                name: member.relay
+                for name, member in members.items()
+                if name != self.name
+            }
+        )
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -73,7 +73,7 @@
         self.fence = fence
         self.may_order = True
         self.task_set = tasks.TaskSet()
-        self.operator = view.OperatorView(names.OPERATOR_PREFIX)
+        self.operator = view.OperatorView(clock, names.OPERATOR_PREFIX)
         self.known = view.SamplerView(clock, SAMPLER_PAUSE_MS)
         self.planner = serving.Planner(clock, is_near)
         self.backup = backup.TextBackup(clock, store, fence, self.open_texts)
@@ -114,7 +114,7 @@
         self.operator.start(self.store, self.task_set)
         self.known.start(self.store, self.task_set)
         followed = follower.PrefixFollower(
-            self.store, lot_records.LOTS_PREFIX, self
+            self.clock, self.store, lot_records.LOTS_PREFIX, self
         )
         self.task_set.spawn(followed.run())
         self.planner.inherit(await self.backup.read())
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/view.py
@@ -6,6 +6,7 @@
 import eliot
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import follower
 from poplarloft.daemon import tasks
 from poplarloft.platform import documents
@@ -23,20 +24,33 @@
 
     Parameters
     ----------
+    clock : state.Clock
+        Monotonic time.
     prefix : str
         The part of the operator's keys that matters here.
     """
 
-    def __init__(self, prefix: str = names.CONFIGURATION_KEY) -> None:
+    def __init__(
+        self, clock: state.Clock, prefix: str = names.CONFIGURATION_KEY
+    ) -> None:
+        self.clock = clock
         self.prefix = prefix
         self.configuration: state.ServingConfiguration | None = None
         self.targets: dict[str, state.WeightsTarget] = {}
         self.retiring: set[str] = set()
         self.listeners: list[Told] = []
 
-    def start(self, store: state.RevisionStore, to: tasks.TaskSet) -> None:
+    def start(
+        self,
+        store: state.RevisionStore,
+        to: tasks.TaskSet,
+        link: feed_link.FeedLink | None = None,
+    ) -> None:
         """Follow the keys from now on."""
-        to.spawn(follower.PrefixFollower(store, self.prefix, self).run())
+        followed = follower.PrefixFollower(
+            self.clock, store, self.prefix, self, link=link
+        )
+        to.spawn(followed.run())
 
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
         """Take all entries that exist."""
@@ -112,15 +126,21 @@
     """
 
     def __init__(self, clock: state.Clock, pause_ms: int) -> None:
+        self.clock = clock
         self.registry = serving.SamplerRegistry(clock)
         self.pause_ms = pause_ms
         self.listeners: list[Told] = []
         self.is_listed = asyncio.Event()
 
-    def start(self, store: state.RevisionStore, to: tasks.TaskSet) -> None:
+    def start(
+        self,
+        store: state.RevisionStore,
+        to: tasks.TaskSet,
+        link: feed_link.FeedLink | None = None,
+    ) -> None:
         """Follow the announcements from now on."""
         followed = follower.PrefixFollower(
-            store, names.SAMPLER_PREFIX, self, self.pause_ms
+            self.clock, store, names.SAMPLER_PREFIX, self, self.pause_ms, link
         )
         to.spawn(followed.run())
 
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -16,7 +16,7 @@
 
 __all__ = ["PlatformStore"]
 
-WATCH_SLACK_MS = 2_000  # an answer may be on its way when the wait ends
+WATCH_SLACK_MS = 1_000  # an answer may be on its way when the wait ends
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -87,7 +87,7 @@
         self,
         client: http_client.HttpClient,
         address: state.Address,
-        timeout_ms: int = 1_500,
+        timeout_ms: int = 700,
     ) -> None:
         self.client = client
         self.address = address
@@ -103,10 +103,12 @@
         return _decode(reply, _Row).map(_entry)
 
     async def list_page(
-        self, prefix: str, after_key: str = ""
+        self, prefix: str, after_key: str = "", may_be_old: bool = False
     ) -> Outcome[state.Page]:
         """Return entries under `prefix`, those after `after_key`."""
         query = {"prefix": prefix}
+        if may_be_old:
+            query["allow_stale"] = "1"
         if after_key:
             query["after"] = after_key
         target = _target(names.STORE_RANGE_PATH, **query)
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft import state
 
@@ -25,9 +24,7 @@
     "encode_head",
     "encode_record",
     "decode_held",
-    "decode_member",
     "encode_held",
-    "encode_member",
     "ended_key",
     "head_key",
     "lot_key",
@@ -102,19 +99,6 @@
     return f"{batches_prefix(lot_id)}{HEAD_NUMBER:06d}"
 
 
-def encode_member(address: state.Address) -> bytes:
-    """Return the value of a daemon's key."""
-    return str(address).encode()
-
-
-def decode_member(value: bytes) -> state.Address:
-    """Return a daemon's address; raises `ProtocolError`."""
-    try:
-        return addresses.parse_address(value.decode())
-    except UnicodeDecodeError as error:
-        raise errors.FieldError("member", str(error)) from error
-
-
 def member_key(name: str) -> str:
     """Return the key with a daemon's address for carried calls."""
     return f"{MEMBERS_PREFIX}{name}"
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -79,6 +79,12 @@
         le=600_000,
         description="Time until a leaving upstream must get nothing new",
     )
+    configuration_bound_ms: int = pydantic.Field(
+        default=3_000,
+        ge=100,
+        le=600_000,
+        description="Time until a new configuration must be in force",
+    )
     lot_kept_s: float = pydantic.Field(
         default=120.0,
         gt=0,
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -25,6 +25,11 @@
 from poplarloft.state.document import Versioned
 from poplarloft.state.document import WriteOutcome
 from poplarloft.state.document import WriteResult
+from poplarloft.state.feeds import FeedAnswer
+from poplarloft.state.feeds import FeedMessage
+from poplarloft.state.feeds import FeedPart
+from poplarloft.state.feeds import FeedRequest
+from poplarloft.state.feeds import PeerRecord
 from poplarloft.state.identity import Address
 from poplarloft.state.identity import Incarnation
 from poplarloft.state.identity import Place
@@ -112,6 +117,10 @@
     "DocumentKind",
     "Entry",
     "Expectation",
+    "FeedAnswer",
+    "FeedMessage",
+    "FeedPart",
+    "FeedRequest",
     "HeadAnswer",
     "HeadRequest",
     "HeadRumour",
@@ -139,6 +148,7 @@
     "OwnerBody",
     "Page",
     "PathRoute",
+    "PeerRecord",
     "Place",
     "Proposal",
     "ProposalState",
--- a/poplarloft/state/revisions.py
+++ b/poplarloft/state/revisions.py
@@ -146,9 +146,12 @@
         """Return the entry of `key`, or None."""
 
     async def list_page(
-        self, prefix: str, after_key: str = ""
+        self, prefix: str, after_key: str = "", may_be_old: bool = False
     ) -> result.Result[Page, StoreFailure]:
-        """Return entries under `prefix`, those after `after_key`."""
+        """Return entries under `prefix`, those after `after_key`.
+
+        An answer that may be some seconds old costs less.
+        """
 
     async def watch(
         self, prefix: str, after_revision: int, wait_ms: int
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -14,6 +14,7 @@
 
 HOST = "h.example"
 SHORT_MS = 1.0
+NEWS_BOUND_MS = 2_000
 
 
 def configuration(version=1, attempts=3, target_ms=5_000):
@@ -115,6 +116,7 @@
         self.entries = []
         self.bulks = []
         self.client = http_client.HttpClient()
+        self.shares_news = False
 
     async def start(self, entries=1, bulks=1):
         """Start everything and wait until it is ready."""
@@ -162,6 +164,8 @@
             await duty.stop()
         if isinstance(daemon, bulk.BulkDaemon):
             daemon.link.close()
+        elif daemon.feed is not None:
+            daemon.feed.close()
         daemon.client.close()
         for daemons in (self.entries, self.bulks):
             if daemon in daemons:
@@ -236,8 +240,13 @@
                 "--listen=127.0.0.1:0",
                 "--ready-listen=127.0.0.1:0",
             ]
-        else:
+        if duty == "bulk" or self.shares_news:
             arguments.append("--peer-listen=127.0.0.1:0")
+        if self.shares_news:
+            arguments += [
+                f"--leaving-bound-ms={NEWS_BOUND_MS}",
+                f"--configuration-bound-ms={NEWS_BOUND_MS}",
+            ]
         return serving_settings.load_serving_settings(arguments)
 
 
