Begin early by pings; hint at lots; wake with the store

(2) Lots accepted while watches are deaf (platform_compact) began up to 1.5 s late.

Now a standby whose write is not answered in 0.3 s pings the others; if one answers that doesn't run the lots it begins. Two standbys get copies. Daemons that accept or end a lot tell the runner, which says where it is each second; older listings and late hints are told apart by the store's revision. Ending a lot asks and writes at the same time (one round trip less a step). Dropped: judging the store away by what relays answer.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -25,6 +25,7 @@
 from poplarloft.coordination.serving.texts import BrokenOrder
 from poplarloft.coordination.serving.texts import ItemText
 from poplarloft.coordination.serving.texts import Stage
+from poplarloft.coordination.serving.whereabouts import Whereabouts
 
 __all__ = [
     "AdoptBatch",
@@ -48,5 +49,6 @@
     "Stage",
     "StartItem",
     "Succession",
+    "Whereabouts",
     "WriteBatch",
 ]
--- a/poplarloft/coordination/serving/succession.py
+++ b/poplarloft/coordination/serving/succession.py
@@ -32,6 +32,7 @@
         self.heard_at_ms = 0
         self.is_first = True
         self.heir = ""
+        self.is_early = False
         self.quiet_until_ms = 0
 
     def follow(self, runner: state.RunnerRecord) -> None:
@@ -48,12 +49,21 @@
         self.heard_at_ms = self.clock.now_ms()
         self.is_first = False
         self.heir = beat.heir
+        self.is_early = beat.fence == 0
 
     def on_deposed(self) -> None:
         """Note that another daemon took the duty from this one."""
         self.runner = None
         self.quiet_until_ms = self.clock.now_ms() + DEPOSED_QUIET_MS
 
+    def leaves_to_other(self) -> bool:
+        """Tell whether another daemon runs the lots without the duty.
+
+        It takes the duty itself once the store is back.
+        """
+        silent_ms = self.clock.now_ms() - self.heard_at_ms
+        return self.is_early and silent_ms < SILENCE_MS
+
     def should_take_over(self) -> bool:
         """Tell whether this daemon should take the duty now."""
         runner = self.runner
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -21,6 +21,7 @@
 __all__ = ["BulkDaemon"]
 
 NEWS_BOUND_MS = 12_000  # a standby must only know what is open
+TELL_MS = 1_000
 MS_PER_S = 1_000
 
 
@@ -49,6 +50,8 @@
         )
         self.views = store_views.StoreViews.make(self.clock)
         self.views.operator.listeners.append(self._answer_retirements)
+        self.peers.on(state.LotAccepted, self._on_lot_accepted)
+        self.peers.on(state.LotEnded, self._on_lot_ended)
         self.tenure: tenure.Tenure | None = None
         self.retired: set[str] = set()
 
@@ -66,11 +69,11 @@
             me,
             self.link,
             self._make_runner,
-            lambda: self.store.is_away,
             self.feed.follow_only,
         )
         self.feed.start(self.task_set)
         self.views.start(self.store, self.task_set, self.feed)
+        self.task_set.spawn(self._tell_where())
         await self.start_relay()
         self.task_set.spawn(self.tenure.run())
 
@@ -106,6 +109,25 @@
             inheritance,
         )
 
+    async def _tell_where(self) -> None:
+        """Tell all daemons where this one is while it runs the lots."""
+        while True:
+            duty = None if self.tenure is None else self.tenure.duty
+            if duty is not None and duty.fence:
+                message = state.RunnerHere(duty.fence, self.peers.address)
+                for member in self.relay.members.values():
+                    if member.feed is not None:
+                        self.peers.send(member.feed, message)
+            await asyncio.sleep(TELL_MS / MS_PER_S)
+
+    def _on_lot_accepted(self, hint: state.LotAccepted) -> None:
+        if self.tenure is not None and self.tenure.duty is not None:
+            self.views.lots.on_accepted(hint)
+
+    def _on_lot_ended(self, hint: state.LotEnded) -> None:
+        if self.tenure is not None and self.tenure.duty is not None:
+            self.views.lots.on_ended(hint)
+
     def _answer_retirements(self) -> None:
         """Answer for all instances, as the runner: none keeps anything."""
         if self.tenure is None or self.tenure.duty is None:
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -5,6 +5,7 @@
 import eliot
 from returns import result
 
+from poplarloft.coordination import serving
 from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import forwarding
@@ -56,7 +57,9 @@
             self.wall_clock,
             self.store,
             int(settings.lot_kept_s * MS_PER_S),
+            self.tell_runner,
         )
+        self.whereabouts = serving.Whereabouts(self.clock)
         self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
         self.front = self._make_server(self.handle)
@@ -90,8 +93,15 @@
             self.clock, settings.name, bound_ms, self.peers
         )
         self.feed.start(self.task_set)
+        self.peers.on(state.RunnerHere, self.whereabouts.on_runner)
         self.relay.feed = self.feed
 
+    def tell_runner(self, message: state.ServingMessage) -> None:
+        """Send a hint to the daemon that runs the lots, if it is known."""
+        address = self.whereabouts.address()
+        if address is not None:
+            self.peers.send(address, message)
+
     async def stop(self) -> None:
         """Finish what is in flight, within the time that is granted."""
         self.is_stopping = True
--- a/poplarloft/daemon/serving/lotdesk.py
+++ b/poplarloft/daemon/serving/lotdesk.py
@@ -69,6 +69,8 @@
         Keeps the lots.
     kept_ms : int
         Time for which a lot can be read.
+    tell_runner : callable
+        Hints at a lot that began or ended.
     """
 
     def __init__(
@@ -77,11 +79,13 @@
         wall_clock: state.Clock,
         store: state.RevisionStore,
         kept_ms: int,
+        tell_runner: abc.Callable[[state.ServingMessage], None],
     ) -> None:
         self.clock = clock
         self.wall_clock = wall_clock
         self.store = store
         self.kept_ms = kept_ms
+        self.tell_runner = tell_runner
         self.views: dict[str, _LotView] = {}
 
     async def accept(self, lot: state.Lot) -> state.Refusal | None:
@@ -106,6 +110,8 @@
             revision=answer.revision,
             detail=answer.detail,
         )
+        if answer.status is Status.APPLIED:
+            self.tell_runner(state.LotAccepted(record, answer.revision))
         if answer.status in (Status.APPLIED, Status.CONFLICT):
             return None
         if answer.status is Status.NOT_DONE:
@@ -156,16 +162,12 @@
 
     async def end(self, lot_id: str) -> state.Refusal | None:
         """End a lot; None once the store has acknowledged it."""
-        head = lot_records.head_key(lot_id)
-        held = self.views.get(lot_id)
-        if held is None or not held.is_known:
-            found = await self.store.get(head)
-            match found:
-                case result.Success(None):
-                    return _unknown(lot_id)
-                case result.Failure(failure):
-                    return _not_ready(failure.detail)
-        answer = await self._write_end(lot_id)
+        # The end of a lot that does not exist changes nothing.
+        refusal, answer = await asyncio.gather(
+            self._check_exists(lot_id), self._write_end(lot_id)
+        )
+        if refusal is not None:
+            return refusal
         eliot.log_message(
             "lot-ended",
             request=lot_id,
@@ -174,9 +176,22 @@
             detail=answer.detail,
         )
         if answer.status is Status.APPLIED:
+            self.tell_runner(state.LotEnded(lot_id))
             return None
         return _not_ready("the store did not keep the end")
 
+    async def _check_exists(self, lot_id: str) -> state.Refusal | None:
+        held = self.views.get(lot_id)
+        if held is not None and held.is_known:
+            return None
+        found = await self.store.get(lot_records.head_key(lot_id))
+        match found:
+            case result.Success(None):
+                return _unknown(lot_id)
+            case result.Failure(failure):
+                return _not_ready(failure.detail)
+        return None
+
     async def _write_end(self, lot_id: str) -> state.WriteAnswer:
         """Remove a lot's record; doing so again changes nothing."""
         end_ms = self.clock.now_ms() + END_TIMEOUT_MS
--- a/poplarloft/daemon/serving/lots_view.py
+++ b/poplarloft/daemon/serving/lots_view.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from poplarloft.coordination import serving
 from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import follower
 from poplarloft.daemon import tasks
@@ -37,6 +38,8 @@
     def __init__(self, clock: state.Clock) -> None:
         self.clock = clock
         self.records: dict[str, state.LotRecord] = {}
+        self.hinted: dict[str, int] = {}
+        self.book: serving.PrefixBook | None = None
         self.listener: LotListener | None = None
 
     def start(
@@ -49,13 +52,27 @@
         followed = follower.PrefixFollower(
             self.clock, store, lot_records.LOTS_PREFIX, self, link=link
         )
+        self.book = followed.book
         to.spawn(followed.run())
 
+    def on_accepted(self, hint: state.LotAccepted) -> None:
+        """Take a lot of which a daemon told before the store did."""
+        lot_id = hint.record.lot.id
+        if self.book is None or hint.revision <= self.book.revision:
+            return
+        self.hinted[lot_id] = hint.revision
+        self._take_record(hint.record, True)
+
+    def on_ended(self, hint: state.LotEnded) -> None:
+        """Note an end of which a daemon told before the store did."""
+        self._end(hint.lot_id)
+
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
         """Take all open lots; those that are missing have ended."""
         present = {lot_records.parse_lot_key(entry.key) for entry in entries}
         for lot_id in self.records.keys() - present:
-            self._end(lot_id)
+            if not self._is_newer(lot_id):
+                self._end(lot_id)
         for entry in entries:
             self._take(entry, False)
 
@@ -72,8 +89,14 @@
     def on_regained(self) -> None:
         """Go on with what the store shows next."""
 
+    def _is_newer(self, lot_id: str) -> bool:
+        """Tell whether a lot was accepted after what the book shows."""
+        revision = self.hinted.get(lot_id, 0)
+        return self.book is not None and revision > self.book.revision
+
     def _take(self, entry: state.Entry, is_new: bool) -> None:
         lot_id = lot_records.parse_lot_key(entry.key)
+        self.hinted.pop(lot_id, None)
         if lot_id in self.records:
             return
         try:
@@ -83,11 +106,17 @@
                 "lot-unreadable", request=lot_id, error=str(error)
             )
             return
-        self.records[lot_id] = record
+        self._take_record(record, is_new)
+
+    def _take_record(self, record: state.LotRecord, is_new: bool) -> None:
+        if record.lot.id in self.records:
+            return
+        self.records[record.lot.id] = record
         if self.listener is not None:
             self.listener.on_lot(record, is_new)
 
     def _end(self, lot_id: str) -> None:
+        self.hinted.pop(lot_id, None)
         if self.records.pop(lot_id, None) is None:
             return
         if self.listener is not None:
--- a/poplarloft/daemon/serving/relaying.py
+++ b/poplarloft/daemon/serving/relaying.py
@@ -61,7 +61,16 @@
         self.choice = choice
         self.direct = platform_store.PlatformStore(client, address)
         self.by_way = {serving.DIRECT: self.direct}
-        self.is_away = False
+        self.answered = asyncio.Event()
+
+    async def until_answered(self, timeout_ms: float) -> None:
+        """Wait until the store answers any call, at most so long."""
+        self.answered.clear()
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self.answered.wait()
+        except TimeoutError:
+            pass
 
     @property
     def calls(self) -> int:
@@ -163,13 +172,10 @@
 
     def _on_answer(self, way: str) -> None:
         self.choice.on_answer(way)
-        self.is_away = False
+        self.answered.set()
 
     def _on_refused(self, way: str, detail: str) -> None:
         self.choice.on_refused(way)
-        if way != serving.DIRECT and self.by_way[way].has_replied:
-            # The peer is reached, the store is not.
-            self.is_away = True
         eliot.log_message(
             "store-call-refused", way=way or "direct", detail=detail[:200]
         )
@@ -198,6 +204,7 @@
         self.store = store
         self.name = name
         self.feed: feed_link.FeedLink | None = None
+        self.members: dict[str, state.PeerRecord] = {}
         self.carried = 0
         self.server = http_server.HttpServer(
             self.handle,
@@ -288,6 +295,7 @@
                     key=entry.key,
                     error=str(error),
                 )
+        self.members = members
         if self.feed is not None:
             self.feed.see_members(members)
         self.store.see_peers(
--- a/poplarloft/daemon/serving/standby.py
+++ b/poplarloft/daemon/serving/standby.py
@@ -15,6 +15,8 @@
 SUBSCRIBE_MS = 500
 SUBSCRIPTION_MS = 2_000
 COPIES_VALID_MS = 1_500
+INFORMED = 2  # the runner and its heir may end together
+PONG_MS = 500  # to another region and back, over a new connection
 GENERATION_MS = 4_000
 MAX_COPIES_BYTES = 500_000
 MS_PER_S = 1_000
@@ -49,7 +51,7 @@
         self.succession = succession
         self.link = link
         self.subscribers: dict[str, tuple[state.Subscribe, int]] = {}
-        self.heir = ""
+        self.informed: tuple[str, ...] = ()
         self.copy_plan = serving.CopyPlan(clock, 1, GENERATION_MS)
         self.inheritance = serving.Inheritance()
         self.copied_at_ms: int | None = None
@@ -57,6 +59,10 @@
         link.on(state.Subscribe, self._on_subscribe)
         link.on(state.Beat, succession.on_beat)
         link.on(state.Copies, self._on_copies)
+        link.on(state.Ping, self._on_ping)
+        link.on(state.Pong, self._on_pong)
+        self.pong: asyncio.Future[state.Pong] | None = None
+        self.is_running = False
 
     @property
     def is_informed(self) -> bool:
@@ -72,6 +78,8 @@
         try:
             while True:
                 self.link.send(runner.address, message)
+                # Their connections are open when they are needed.
+                self._ping()
                 await asyncio.sleep(SUBSCRIBE_MS / MS_PER_S)
         finally:
             self.link.forget(runner.address)
@@ -83,46 +91,74 @@
     ) -> None:
         """Send beats to all standbys, and copies to one, until cancelled."""
         self.subscribers.clear()
-        self.heir = ""
+        self.informed = ()
+        self.is_running = True
+        try:
+            await self._beat_on(fence, open_texts)
+        finally:
+            self.is_running = False
+
+    async def _beat_on(
+        self,
+        fence: abc.Callable[[], int],
+        open_texts: abc.Callable[[], abc.Iterable[serving.ItemText]],
+    ) -> None:
         while True:
             self._forget_subscribers()
+            self._choose_informed()
+            heir = self.informed[0] if self.informed else ""
             addresses = [row.address for row, _ in self.subscribers.values()]
             # Those that the runner before knew must hear of this one.
             for address in addresses or self.other_standbys:
-                self.link.send(address, state.Beat(fence(), self.heir))
+                self.link.send(address, state.Beat(fence(), heir))
             self._send_copies(fence(), open_texts, tuple(addresses))
             await asyncio.sleep(BEAT_MS / MS_PER_S)
 
+    async def may_begin(self) -> bool:
+        """Tell whether another standby answers, and doesn't run the lots."""
+        self.pong = asyncio.get_running_loop().create_future()
+        self._ping()
+        try:
+            async with asyncio.timeout(PONG_MS / MS_PER_S):
+                pong = await self.pong
+        except TimeoutError:
+            return False
+        return not pong.is_running
+
+    def _ping(self) -> None:
+        for address in self.other_standbys:
+            self.link.send(address, state.Ping(self.link.address))
+
     def _send_copies(
         self,
         fence: int,
         open_texts: abc.Callable[[], abc.Iterable[serving.ItemText]],
         standbys: tuple[state.Address, ...],
     ) -> None:
-        found = self.subscribers.get(self._choose_heir())
-        if found is None:
-            return
         is_first = self.copy_plan.begins_generation()
         pieces = self.copy_plan.pieces(open_texts())
         for number, some in enumerate(_split(pieces)):
             message = state.Copies(
                 fence, is_first and not number, some, standbys
             )
-            self.link.send(found[0].address, message)
-
-    def _choose_heir(self) -> str:
-        """Return the heir, one in this region if there is one."""
-        if self.heir not in self.subscribers:
-            self.heir = min(
-                self.subscribers,
-                key=lambda name: (
-                    self.subscribers[name][0].region != self.region,
-                    name,
-                ),
-                default="",
-            )
+            for name in self.informed:
+                self.link.send(self.subscribers[name][0].address, message)
+
+    def _choose_informed(self) -> None:
+        """Choose who gets copies: the heir, of this region if possible."""
+        usual = sorted(
+            self.subscribers,
+            key=lambda name: (
+                self.subscribers[name][0].region != self.region,
+                name,
+            ),
+        )
+        kept = [name for name in self.informed if name in self.subscribers]
+        added = [name for name in usual if name not in kept]
+        informed = tuple((kept + added)[:INFORMED])
+        if informed != self.informed:
+            self.informed = informed
             self.copy_plan.restart()
-        return self.heir
 
     def _forget_subscribers(self) -> None:
         oldest_ms = self.clock.now_ms() - SUBSCRIPTION_MS
@@ -134,6 +170,13 @@
     def _on_subscribe(self, message: state.Subscribe) -> None:
         self.subscribers[message.name] = (message, self.clock.now_ms())
 
+    def _on_ping(self, message: state.Ping) -> None:
+        self.link.send(message.address, state.Pong(self.name, self.is_running))
+
+    def _on_pong(self, message: state.Pong) -> None:
+        if self.pong is not None and not self.pong.done():
+            self.pong.set_result(message)
+
     def _on_copies(self, message: state.Copies) -> None:
         if message.is_first:
             if self.copied_at_ms is None:
--- a/poplarloft/daemon/serving/tenure.py
+++ b/poplarloft/daemon/serving/tenure.py
@@ -19,6 +19,7 @@
 LEASE_MS = 2_500
 RENEW_MS = 700
 RETRY_MS = 250
+EARLY_MS = 300  # a store that is there has answered by then
 SILENCE_LOOK_MS = 100
 WAIT_MS = 8_000  # well under the history that the store keeps
 MS_PER_S = 1_000
@@ -54,11 +55,13 @@
 class _Taken:
     """The duty, or with `fence` 0 the right to begin before it is had.
 
-    `revision` is that of the key as its holder before left it.
+    `revision` is that of the key as its holder before left it,
+    `writing` a write of it that may still be answered.
     """
 
     fence: int
     revision: int
+    writing: asyncio.Task[int | None] | None = None
 
 
 class Tenure:
@@ -82,8 +85,6 @@
         Tells whether the holder lives.
     make_duty : callable
         Returns the duty for a fencing number.
-    is_store_away : callable
-        Tells whether the store answers neither this daemon nor others.
     follow : callable
         Told who runs the lots, None if this daemon does.
     """
@@ -95,7 +96,6 @@
         me: state.RunnerRecord,
         link: standby.StandbyLink,
         make_duty: abc.Callable[[int], Duty],
-        is_store_away: abc.Callable[[], bool],
         follow: abc.Callable[[state.RunnerRecord | None], None],
     ) -> None:
         self.clock = clock
@@ -104,9 +104,9 @@
         self.link = link
         self.succession = link.succession
         self.make_duty = make_duty
-        self.is_store_away = is_store_away
         self.follow = follow
         self.lease = 0
+        self.has_answered = False
         self.last_seen: _Seen | None = None
         self.told_silent: state.RunnerRecord | None = None
         self.duty: Duty | None = None
@@ -158,7 +158,7 @@
 
     async def _hold_on(self, duty: Duty, taken: _Taken) -> None:
         """Take the duty if that is left to do, then hold it."""
-        if not taken.fence and not await self._acquire(duty, taken.revision):
+        if not taken.fence and not await self._acquire(duty, taken):
             return
         tasks = {
             asyncio.ensure_future(self._hold(duty)),
@@ -171,10 +171,12 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _acquire(self, duty: Duty, revision: int) -> bool:
+    async def _acquire(self, duty: Duty, taken: _Taken) -> bool:
         """Try until the store is back; tell whether the duty is ours."""
+        revision = taken.revision
+        writing = taken.writing or self._begin_write(revision)
         while self.may_hold and self.succession.should_take_over():
-            fence = await self._write_holder(revision)
+            fence = await writing
             if fence is not None:
                 duty.fence = fence
                 duty.may_order = True
@@ -187,8 +189,12 @@
                     return False
                 revision = state.ABSENT if held is None else revision
             await asyncio.sleep(RETRY_MS / MS_PER_S)
+            writing = self._begin_write(revision)
         return False
 
+    def _begin_write(self, revision: int) -> asyncio.Task[int | None]:
+        return asyncio.ensure_future(self._write_holder(revision))
+
     async def _take(self) -> _Taken | None:
         """Return the fencing number once the duty is ours."""
         if not self.may_hold:
@@ -198,6 +204,8 @@
             return None
         self.last_seen = seen
         if seen.entry is None:
+            if self.succession.leaves_to_other():
+                return None
             fence = await self._write_holder(state.ABSENT)
             return _Taken(fence, state.ABSENT) if fence else None
         return await self._stand_by(seen.entry, seen.revision)
@@ -244,24 +252,26 @@
                 silent_ms=self.clock.now_ms() - self.succession.heard_at_ms,
                 revision=entry.revision,
             )
-        fence = await self._write_holder(entry.revision)
-        if fence is not None:
-            return _Taken(fence, entry.revision)
-        if self._may_begin_early():
-            return _Taken(0, entry.revision)
-        return None
+        return await self._succeed(entry.revision)
 
-    def _may_begin_early(self) -> bool:
-        """Tell whether to go on with the lots while the store is away.
+    async def _succeed(self, revision: int) -> _Taken | None:
+        """Take the key, or begin without it while the store is away.
 
-        Only the heir does, who has the texts; and not if it may be the
-        one that is cut off from the runner and all others.
+        Only a standby that has the texts begins; and not if it may be
+        the one that is cut off from the runner and all others.
         """
-        return (
-            self.is_store_away()
-            and self.link.is_informed
-            and self.succession.heir == self.succession.name
-        )
+        writing = self._begin_write(revision)
+        await asyncio.wait({writing}, timeout=EARLY_MS / MS_PER_S)
+        if writing.done():
+            fence = writing.result()
+            if fence is not None:
+                return _Taken(fence, revision)
+            if self.has_answered:
+                return None
+        if self.link.is_informed and await self.link.may_begin():
+            return _Taken(0, revision, writing)
+        fence = await writing
+        return None if fence is None else _Taken(fence, revision)
 
     async def _await_silence(self) -> None:
         while True:
@@ -319,9 +329,11 @@
     async def _write_holder(self, revision: int) -> int | None:
         """Take the key if it is still at `revision`."""
         asked_at_ms = self.clock.now_ms()
+        self.has_answered = False
         granted = await self.store.grant_lease(LEASE_MS)
         match granted:
             case result.Success(int() as lease):
+                self.has_answered = True
                 fence = await self._put(lease, revision)
             case _:
                 return None
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -79,7 +79,7 @@
 
 
 class PlatformStore:
-    """The store at one address, as a `state.RevisionStore`.
+    """The store at one address, with the calls of `state.RevisionStore`.
 
     Parameters
     ----------
@@ -91,11 +91,6 @@
         Longest wait for an answer.
     wait_header : str
         Header that tells a peer at that address how long is waited.
-
-    Attributes
-    ----------
-    has_replied : bool
-        Whether anything was answered to the last call.
     """
 
     def __init__(
@@ -106,7 +101,6 @@
         wait_header: str = "",
     ) -> None:
         self.wait_header = wait_header
-        self.has_replied = False
         self.client = client
         self.address = address
         self.timeout_ms = timeout_ms
@@ -213,7 +207,6 @@
         body: dict[str, object] | None = None,
     ) -> Outcome[_Reply]:
         self.calls += 1
-        self.has_replied = False
         encoded = b"" if body is None else msgspec.json.encode(body)
         headers = JSON_HEADERS
         if self.wait_header:
@@ -223,7 +216,6 @@
         )
         match sent:
             case result.Success(answer):
-                self.has_replied = True
                 try:
                     return result.Success(
                         _Reply(answer.status, await answer.read())
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -23,6 +23,11 @@
     state.Copies,
     state.FeedRequest,
     state.FeedAnswer,
+    state.RunnerHere,
+    state.LotAccepted,
+    state.LotEnded,
+    state.Ping,
+    state.Pong,
 ]
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -83,6 +83,11 @@
 from poplarloft.state.serving_messages import ServingMessage
 from poplarloft.state.standby import Beat
 from poplarloft.state.standby import Copies
+from poplarloft.state.standby import LotAccepted
+from poplarloft.state.standby import LotEnded
+from poplarloft.state.standby import Ping
+from poplarloft.state.standby import Pong
+from poplarloft.state.standby import RunnerHere
 from poplarloft.state.standby import RunnerRecord
 from poplarloft.state.standby import Subscribe
 from poplarloft.state.upstream import LoadReport
@@ -135,7 +140,9 @@
     "LedgerId",
     "LoadReport",
     "Lot",
+    "LotAccepted",
     "LotBody",
+    "LotEnded",
     "LotItem",
     "LotRecord",
     "LotResult",
@@ -149,7 +156,9 @@
     "Page",
     "PathRoute",
     "PeerRecord",
+    "Ping",
     "Place",
+    "Pong",
     "Proposal",
     "ProposalState",
     "Put",
@@ -163,6 +172,7 @@
     "RewardCall",
     "RouteBody",
     "Rumour",
+    "RunnerHere",
     "RunnerRecord",
     "Sample",
     "Sampler",
--- a/poplarloft/state/revisions.py
+++ b/poplarloft/state/revisions.py
@@ -142,6 +142,9 @@
 class RevisionStore(typing.Protocol):
     """A linearizable key-value store."""
 
+    async def until_answered(self, timeout_ms: float) -> None:
+        """Wait until the store answers any call, at most so long."""
+
     async def get(self, key: str) -> result.Result[Entry | None, StoreFailure]:
         """Return the entry of `key`, or None."""
 
--- a/poplarloft/state/serving_messages.py
+++ b/poplarloft/state/serving_messages.py
@@ -11,4 +11,9 @@
     | standby.Copies
     | feeds.FeedRequest
     | feeds.FeedAnswer
+    | standby.RunnerHere
+    | standby.LotAccepted
+    | standby.LotEnded
+    | standby.Ping
+    | standby.Pong
 )
--- a/poplarloft/state/standby.py
+++ b/poplarloft/state/standby.py
@@ -5,7 +5,17 @@
 from poplarloft.state import identity
 from poplarloft.state import lots
 
-__all__ = ["Beat", "Copies", "RunnerRecord", "Subscribe"]
+__all__ = [
+    "Beat",
+    "Copies",
+    "LotAccepted",
+    "LotEnded",
+    "Ping",
+    "Pong",
+    "RunnerHere",
+    "RunnerRecord",
+    "Subscribe",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,3 +70,44 @@
     is_first: bool
     pieces: tuple[lots.HeldText, ...]
     standbys: tuple[identity.Address, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerHere:
+    """Tells all daemons where the one that runs the lots is."""
+
+    fence: int
+    address: identity.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LotAccepted:
+    """Tells the runner of a lot that the store has acknowledged.
+
+    `revision` is that of its record.
+    """
+
+    record: lots.LotRecord
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LotEnded:
+    """Tells the runner of an end that the store has acknowledged."""
+
+    lot_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks another standby for a `Pong`."""
+
+    address: identity.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """Shows that a standby is reached, and whether it runs the lots."""
+
+    name: str
+    is_running: bool
--- /dev/null
+++ b/tests/test_serving_hints.py
@@ -0,0 +1,98 @@
+"""Lots of which the runner hears from the daemon that accepted them."""
+
+import asyncio
+
+import pytest
+
+from poplarloft.daemon.serving import lots_view
+from poplarloft import state
+from tests import serving_fleet
+
+
+@pytest.fixture
+async def fleet():
+    made = serving_fleet.Fleet()
+    made.shares_news = True
+    await made.start(entries=2)
+    for daemon in (*made.entries, *made.bulks):
+        await daemon.relay.start(
+            state.Address("127.0.0.1", 0), daemon.task_set
+        )
+    await asyncio.sleep(0.3)
+    for daemon in (*made.entries, *made.bulks):
+        await daemon.relay._list_peers()
+    for daemon in made.entries:
+        await serving_fleet.eventually(daemon.whereabouts.address)
+    yield made
+    await made.stop()
+
+
+async def test_lot_runs_though_no_watch_hears_of_it(fleet):
+    # The first send only opens the connection.
+    await fleet.submit("lot-0", serving_fleet.lot_body(1))
+    await fleet.read_all("lot-0")
+    fleet.store.is_deaf = True
+    await fleet.submit("lot-a", serving_fleet.lot_body(4))
+    await serving_fleet.eventually(
+        lambda: sum(len(e.runs) for e in fleet.engines) >= 5, timeout_s=1
+    )
+
+
+async def test_end_stops_a_lot_though_no_watch_hears_of_it(fleet):
+    for engine in fleet.engines:
+        engine.event_ms = 50
+    await fleet.submit("lot-0", serving_fleet.lot_body(1))
+    await fleet.submit("lot-a", serving_fleet.lot_body(30, events=20))
+    await asyncio.sleep(0.5)
+    fleet.store.is_deaf = True
+    status, _, _ = await fleet.call("DELETE", "/poplarloft/lots/lot-a")
+    assert status == 200
+    runner = fleet.bulks[0].tenure.duty
+    await serving_fleet.eventually(
+        lambda: "lot-a" in runner.ended, timeout_s=1
+    )
+
+
+class Heard:
+    """Counts what a listener is told."""
+
+    def __init__(self):
+        self.begun, self.ended = [], []
+
+    def on_lot(self, record, is_new):
+        self.begun.append(record.lot.id)
+
+    def on_lot_end(self, lot_id):
+        self.ended.append(lot_id)
+
+
+def view_at(revision):
+    view = lots_view.LotsView(state.ManualClock())
+    view.book = lots_view.serving.PrefixBook(state.ManualClock(), "lots/")
+    view.book.on_listing((), revision, 0)
+    view.listener = Heard()
+    return view
+
+
+def accepted(revision):
+    lot = state.Lot("lot-a", "h", "/l/", "m", 0, 1, 1, ())
+    return state.LotAccepted(state.LotRecord(lot, 0), revision)
+
+
+def test_an_older_listing_does_not_end_a_lot_that_was_hinted_at():
+    view = view_at(10)
+    view.on_accepted(accepted(12))
+    view.book.on_listing((), 11, 0)
+    view.on_listing(())
+    assert view.listener.begun == ["lot-a"]
+    assert view.listener.ended == []
+    view.book.on_listing((), 13, 0)
+    view.on_listing(())
+    assert view.listener.ended == ["lot-a"]
+
+
+def test_a_late_hint_does_not_bring_an_ended_lot_back():
+    view = view_at(10)
+    view.book.on_listing((), 15, 0)
+    view.on_accepted(accepted(12))
+    assert view.listener.begun == []
