--- a/poplarloft/coordination/serving/succession.py
+++ b/poplarloft/coordination/serving/succession.py
@@ -56,6 +56,11 @@
         self.runner = None
         self.quiet_until_ms = self.clock.now_ms() + DEPOSED_QUIET_MS
 
+    def hears_runner(self) -> bool:
+        """Tell whether beats of another daemon have come just now."""
+        silent_ms = self.clock.now_ms() - self.heard_at_ms
+        return not self.is_first and silent_ms < SILENCE_MS
+
     def leaves_to_other(self) -> bool:
         """Tell whether another daemon runs the lots without the duty.
 
--- a/poplarloft/daemon/console.py
+++ b/poplarloft/daemon/console.py
@@ -1,13 +1,14 @@
 """The console of forms under ``/console``."""
 
 import hmac
-import typing
 import uuid
 
 from returns import result
 
 from poplarloft import coordination
 from poplarloft.daemon import operators
+from poplarloft.daemon import status
+from poplarloft.daemon import usage
 from poplarloft.protocol import console
 from poplarloft.protocol import credentials
 from poplarloft.protocol import documents
@@ -16,9 +17,6 @@
 from poplarloft.protocol import http
 from poplarloft import state
 
-if typing.TYPE_CHECKING:
-    from poplarloft.daemon import frontend
-
 __all__ = ["Console"]
 
 SEE_OTHER = 303
@@ -30,7 +28,9 @@
 
     Parameters
     ----------
-    owner_frontend : frontend.Frontend
+    usage_service : usage.UsageService
+        Keeps the usage ledger.
+    report : status.InstanceReport
         Gives the daemon's status and histograms.
     operator_api : operators.OperatorApi
         Carries changes into the configuration.
@@ -40,11 +40,13 @@
 
     def __init__(
         self,
-        owner_frontend: "frontend.Frontend",
+        usage_service: usage.UsageService,
+        report: status.InstanceReport,
         operator_api: operators.OperatorApi,
         secure: bool,
     ) -> None:
-        self.frontend = owner_frontend
+        self.usage = usage_service
+        self.report = report
         self.operators = operator_api
         self.secure = secure
 
@@ -99,15 +101,15 @@
         await self.operators.service.read_once()
         head = self._head()
         newest = list(reversed(head.proposals))[:PROPOSALS_SHOWN]
-        entries = await self.frontend.node.usage.entries()
+        entries = await self.usage.entries()
         totals = coordination.ledger_totals(entries or [])
         view = console.ConsoleView(
             owner,
             csrf,
             head,
             [console.proposal_view(head, p, owner) for p in newest],
-            self.frontend.status(),
-            self.frontend.histograms(owner),
+            self.report.status(),
+            self.report.histograms(owner),
             coordination.owner_shares(totals),
         )
         return console.page("overview", 200, view=view)
--- a/poplarloft/daemon/frontend.py
+++ b/poplarloft/daemon/frontend.py
@@ -1,21 +1,21 @@
 """Leads each HTTP request to the part that answers it."""
 
-import typing
+import asyncio
 
 from returns import result
 
 from poplarloft.daemon import console
 from poplarloft.daemon import operators
 from poplarloft.daemon import relay
+from poplarloft.daemon import rollouts
+from poplarloft.daemon import status
+from poplarloft.daemon import usage
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
 from poplarloft.protocol import operators as messages
 from poplarloft.protocol import usage as usage_form
 from poplarloft import state
 
-if typing.TYPE_CHECKING:
-    from poplarloft.daemon import node
-
 __all__ = ["Frontend"]
 
 
@@ -24,39 +24,60 @@
 
     Parameters
     ----------
-    owner_node : node.Node
-        The daemon.
+    request_relay : relay.Relay
+        Answers callers.
+    rollout_service : rollouts.RolloutService
+        Answers trainers.
+    usage_service : usage.UsageService
+        Keeps the usage ledger.
+    report : status.InstanceReport
+        What operators see of this instance.
     operator_api : operators.OperatorApi
         Answers about the configuration.
+    stop_requested : asyncio.Event
+        Set when an operator asks for a shutdown.
+    secure : bool
+        Whether clients come by TLS only.
     """
 
     def __init__(
-        self, owner_node: "node.Node", operator_api: operators.OperatorApi
+        self,
+        request_relay: relay.Relay,
+        rollout_service: rollouts.RolloutService,
+        usage_service: usage.UsageService,
+        report: status.InstanceReport,
+        operator_api: operators.OperatorApi,
+        stop_requested: asyncio.Event,
+        secure: bool,
     ) -> None:
-        self.node = owner_node
+        self.relay = request_relay
+        self.rollouts = rollout_service
+        self.usage = usage_service
+        self.report = report
         self.operators = operator_api
-        self.in_flight = 0
-        secure = owner_node.settings.tls_certificate is not None
-        self.console = console.Console(self, operator_api, secure)
+        self.stop_requested = stop_requested
+        self.console = console.Console(
+            usage_service, report, operator_api, secure
+        )
 
     async def handle(self, request: http.HttpRequest) -> http.HttpResponse:
         """Answer one request."""
-        self.in_flight += 1
+        self.report.in_flight += 1
         try:
             return await self._route(request)
         finally:
-            self.in_flight -= 1
+            self.report.in_flight -= 1
 
     async def _route(self, request: http.HttpRequest) -> http.HttpResponse:
         if request.path.startswith(relay.ROUTE_PREFIX):
-            return await self.node.relay.handle(request)
+            return await self.relay.handle(request)
         match request.method, request.path.strip("/").split("/"):
             case "GET", ["healthz"]:
                 return http.json_response(200, {"healthy": True})
             case "GET", ["readyz"]:
                 return self._readiness()
             case "POST", ["v1", "lots", name, "pull"]:
-                return await self.node.rollouts.handle_pull(name, request)
+                return await self.rollouts.handle_pull(name, request)
             case _, ["console", *parts]:
                 return await self.console.handle(request, parts)
             case method, ["v1", *parts]:
@@ -75,11 +96,11 @@
             )
         match method, parts:
             case "GET", ["status"]:
-                return http.json_response(200, self.status())
+                return http.json_response(200, self.report.status())
             case "GET", ["histograms"]:
-                return http.json_response(200, self.histograms(owner))
+                return http.json_response(200, self.report.histograms(owner))
             case "POST", ["drain"]:
-                self.node.stop_requested.set()
+                self.stop_requested.set()
                 return http.json_response(202, {"draining": True})
             case _, ["config", *rest]:
                 return await self._configure(request, owner, rest)
@@ -113,14 +134,14 @@
             case "GET", []:
                 return await self._usage()
             case "GET", ["disputes"]:
-                disputes = await self.node.usage.disputes()
+                disputes = await self.usage.disputes()
                 return http.json_response(200, disputes or ())
             case "POST", [sequence, "dispute"] if sequence.isdecimal():
                 return await self._dispute_usage(owner, int(sequence), request)
         return _unknown(request)
 
     def _readiness(self) -> http.HttpResponse:
-        if self.node.is_ready:
+        if self.report.is_ready:
             return http.json_response(200, {"ready": True})
         return operators.refuse(
             state.Reason.NOT_READY,
@@ -129,7 +150,7 @@
 
     async def _usage(self) -> http.HttpResponse:
         """Return the data centre's ledger, which both owners may read."""
-        entries = await self.node.usage.entries()
+        entries = await self.usage.entries()
         if entries is None:
             return operators.refuse(
                 state.Reason.NOT_READY, "the usage ledger can't be read"
@@ -146,7 +167,7 @@
             reason = messages.decode_reason(request.body)
         except errors.FieldError as error:
             return operators.refuse(state.Reason.BAD_REQUEST, str(error))
-        disputed = await self.node.usage.dispute(owner, sequence, reason)
+        disputed = await self.usage.dispute(owner, sequence, reason)
         match disputed:
             case result.Success(dispute):
                 return http.json_response(200, dispute)
@@ -154,72 +175,6 @@
                 return http.problem_response(refusal)
         raise AssertionError(disputed)
 
-    def status(self) -> messages.InstanceStatus:
-        """Return what operators see of this instance."""
-        node = self.node
-        phase = node.shutdown.phase(self.in_flight)
-        return messages.InstanceStatus(
-            name=node.settings.name,
-            incarnation=node.incarnation.number,
-            region=node.place.region,
-            data_centre=node.place.data_centre,
-            phase=phase.value,
-            ready=node.is_ready,
-            revision=node.configuration.follower.revision,
-            in_flight=self.in_flight,
-            key_value_calls=node.store.calls,
-            upstreams=self._upstream_rows(),
-            lots=[
-                messages.LotRow(
-                    name=s.name,
-                    owner=s.owner,
-                    step=s.step,
-                    steps=s.steps,
-                    weight_version=s.weight_version,
-                    buffered=s.buffered,
-                    running=s.running,
-                    wasted_tokens=s.wasted_tokens,
-                )
-                for s in node.rollouts.statuses()
-            ],
-        )
-
-    def _upstream_rows(self) -> list[messages.UpstreamRow]:
-        registry = self.node.upstreams.registry
-        load = self.node.upstreams.load
-        rows = []
-        for upstream in registry.known.values():
-            report = load.reports.get(upstream.name)
-            rows.append(
-                messages.UpstreamRow(
-                    name=upstream.name,
-                    service=upstream.service,
-                    data_centre=upstream.place.data_centre,
-                    eligible=registry.is_eligible(upstream),
-                    queued_tokens=load.candidate(
-                        upstream.name, 0.0
-                    ).queued_tokens,
-                    weight_version=report.weight_version if report else None,
-                )
-            )
-        return rows
-
-    def histograms(self, owner: str) -> list[messages.HistogramRow]:
-        """Return the histograms that concern `owner`'s callers."""
-        return [
-            messages.HistogramRow(
-                owner=s.key.owner,
-                request_class=s.key.request_class,
-                stage=s.key.stage,
-                count=s.count,
-                mean_ms=s.mean_ms,
-                max_ms=s.max_ms,
-                percentiles_ms={str(p): v for p, v in s.percentiles_ms},
-            )
-            for s in self.node.histograms.summaries()
-            if s.key.owner == owner
-        ]
-
 
 def _unknown(request: http.HttpRequest) -> http.HttpResponse:
     return operators.refuse(
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -19,6 +19,7 @@
 from poplarloft.daemon import relay
 from poplarloft.daemon import rollouts
 from poplarloft.daemon import snapshots
+from poplarloft.daemon import status
 from poplarloft.daemon import tasks
 from poplarloft.daemon import upstreams
 from poplarloft.daemon import usage
@@ -105,10 +106,7 @@
         )
         self.fleet: fleet.FleetService | None = None
         self.stop_requested = asyncio.Event()
-        self.frontend = frontend.Frontend(
-            self,
-            operators.OperatorApi(self.configuration, self.wall_clock),
-        )
+        self.frontend = self._make_frontend()
         self.tls = self._tls_context()
         self.server = http_server.HttpServer(
             self.frontend.handle,
@@ -121,7 +119,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the balancer should send requests here."""
-        return self.shutdown.is_ready and self.configuration.is_known
+        return self.frontend.report.is_ready
 
     async def start(self) -> state.Address:
         """Start all parts; return the address that was bound."""
@@ -222,6 +220,27 @@
         if self.fleet is not None:
             self.fleet.on_bytes(data)
 
+    def _make_frontend(self) -> frontend.Frontend:
+        report = status.InstanceReport(
+            self.incarnation,
+            self.place,
+            self.shutdown,
+            self.histograms,
+            self.configuration,
+            self.store,
+            self.upstreams,
+            self.rollouts,
+        )
+        return frontend.Frontend(
+            self.relay,
+            self.rollouts,
+            self.usage,
+            report,
+            operators.OperatorApi(self.configuration, self.wall_clock),
+            self.stop_requested,
+            self.settings.tls_certificate is not None,
+        )
+
     def _make_upstreams(self) -> upstreams.UpstreamService:
         settings = self.settings
         return upstreams.UpstreamService(
--- a/tests/test_serving_succession.py
+++ b/tests/test_serving_succession.py
@@ -98,3 +98,20 @@
     )
     # The runner's key is watched, each 8 s.
     assert heir.store.calls - before <= 2
+
+
+async def test_runner_whose_lease_lapsed_goes_on_with_its_texts(fleet):
+    await fleet.submit("lot-a", serving_fleet.lot_body(4, events=EVENTS))
+    runner, heir = await runner_and_heir(fleet)
+    duty = runner.tenure.duty
+    fence = duty.fence
+    # The write is done after its answer was given up.
+    fleet.store.late_writes = 1
+    await fleet.store.remove("cells/0/runner")
+    await fleet.store._end_lease(runner.tenure.key.lease)
+    await serving_fleet.eventually(
+        lambda: any(
+            d.tenure.duty and d.tenure.duty.fence > fence for d in fleet.bulks
+        )
+    )
+    assert len(await fleet.read_all("lot-a")) == 4
