Heed settings that change without a signal

The file is looked at each second; store address, places and times of shutdown apply at once, what needs a restart is named in the reloaded line.

--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -16,6 +16,7 @@
 FAR_MS = 60.0
 NEAR_MS = 2.0
 CONNECT_TIMEOUT_MS = 400
+LIVE_SETTINGS = frozenset({"store", "regions", "grace_s", "drain_notice_ms"})
 
 
 class ServingBase:
@@ -43,6 +44,18 @@
         self.peers = peer_link.PeerLink()
         self.regions = settings.region_of()
 
+    def apply(self, settings: serving_settings.ServingSettings) -> list[str]:
+        """Take new settings; return the names that need a restart."""
+        before, self.settings = self.settings, settings
+        self.store.direct.address = addresses.parse_address(settings.store)
+        self.regions = settings.region_of()
+        return [
+            name
+            for name in type(settings).model_fields
+            if name not in LIVE_SETTINGS
+            and getattr(before, name) != getattr(settings, name)
+        ]
+
     async def start_relay(self) -> None:
         """Begin to carry store calls of other daemons, if it is set."""
         if self.settings.relay_listen is not None:
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -8,9 +8,9 @@
 
 from poplarloft.daemon.serving import bulk
 from poplarloft.daemon.serving import entry
+from poplarloft.daemon.serving import reloading
 from poplarloft.daemon.serving import telemetry
 from poplarloft.protocol import addresses
-from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 
@@ -40,9 +40,11 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, arguments)
+    reloader = reloading.SettingsReloader(arguments, daemon)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     eliot.log_message("starting", duty=settings.duty)
     daemon.task_set.spawn(observed.run())
+    daemon.task_set.spawn(reloader.run())
     if settings.metrics_listen is not None:
         await observed.serve(addresses.parse_address(settings.metrics_listen))
     await daemon.start()
@@ -50,13 +52,3 @@
     await stopping.wait()
     eliot.log_message("stopping")
     await daemon.stop()
-
-
-def _reload(arguments: abc.Sequence[str]) -> None:
-    """Check the settings file anew; its places count from the next start."""
-    try:
-        serving_settings.load_serving_settings(arguments)
-    except errors.FieldError as error:
-        eliot.log_message("reload-refused", error=str(error))
-        return
-    eliot.log_message("reloaded")
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -9,7 +9,7 @@
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 
-__all__ = ["ServingSettings", "load_serving_settings"]
+__all__ = ["ServingSettings", "load_serving_settings", "settings_path"]
 
 ENV_PREFIX = "POPLARLOFT_"
 FILE_FLAG = "--settings-file"
@@ -107,10 +107,9 @@
         Naming the flag, its value and what is allowed.
     """
     rest = list(arguments)
-    path = None
+    path = settings_path(rest)
     if FILE_FLAG in rest:
         at = rest.index(FILE_FLAG)
-        path = rest[at + 1] if at + 1 < len(rest) else None
         del rest[at : at + 2]
     try:
         return ServingSettings(  # type: ignore[call-arg]
@@ -122,3 +121,11 @@
         raise errors.FieldError(flag, failure.reason) from None
     except pydantic_settings.SettingsError as error:
         raise errors.FieldError("flags", str(error)) from None
+
+
+def settings_path(arguments: abc.Sequence[str]) -> str | None:
+    """Return the settings file that the flags name, None without one."""
+    if FILE_FLAG not in arguments:
+        return None
+    at = arguments.index(FILE_FLAG)
+    return arguments[at + 1] if at + 1 < len(arguments) else None
