List results when trainers wait for them; larger groups

Cause: calls to the store are the largest price on the grown sites that a policy can lower. A lot was written six times, mostly for groups that no trainer waited for yet; 66 entries were two groups with two hubs each. Results now gather for 1 s until the trainer has as many groups as it waits for, or the lot is due in 1.5 s; a group of daemons is 80.

--- a/poplarloft/coordination/serving/feeds.py
+++ b/poplarloft/coordination/serving/feeds.py
@@ -17,7 +17,7 @@
 __all__ = ["FeedReader"]
 
 HUBS = 2  # one may be cut off or end at any time
-GROUP_SIZE = 40
+GROUP_SIZE = 80
 SILENT_MS = 1_500  # first messages are lost until both sides connect
 SILENT_REST_MS = 8_000
 OLD_NEWS_REST_MS = 1_000
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -17,6 +17,7 @@
 FIRST_DOUBT_MS = 500
 MAX_DOUBT_MS = 4_000
 ONE_LOSS_MS = 300
+LAST_CHANCE_MS = 1_500
 MOVE_GAIN_MS = 1_000.0  # a move costs prefill, a slot's wait, two trips
 MOVE_PACE_SHARE = 0.9
 REGION_COST_MS = 60.0
@@ -120,6 +121,20 @@
             if any(text.stage not in done for text in group)
         ]
 
+    def is_awaited(self, now_ms: int) -> bool:
+        """Tell whether what is finished now should be listed at once.
+
+        Its trainer goes on when enough groups are listed; before that,
+        results can wait for each other, unless the lot is soon due.
+        """
+        all_groups = {item.group for item in self.lot.items}
+        complete = len(all_groups) - len(self.needed_groups())
+        due_at_ms = self.accepted_at_ms + self.route.due_ms
+        return (
+            complete >= self.lot.groups_wanted
+            or now_ms > due_at_ms - LAST_CHANCE_MS
+        )
+
 
 class Planner:
     """Matches waiting items with free slots.
--- a/poplarloft/coordination/serving/tests/test_planning.py
+++ b/poplarloft/coordination/serving/tests/test_planning.py
@@ -1,5 +1,7 @@
 """Items on engines, texts of ended lots, loads of weights."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -204,3 +206,45 @@
     view = planner.engines[("a", 1)]
     planner.on_engine_failure(view, is_lost=False)
     assert view.may_start(clock.now_ms())
+
+
+def finished(planner, count):
+    """Finish the first `count` groups of lot a."""
+    plan = planner.lots["a"]
+    for number in range(count):
+        for text in plan.groups[f"g{number}"]:
+            text.stage = serving.Stage.SCORED
+    return plan
+
+
+def test_results_wait_for_each_other_until_the_trainer_has_enough():
+    clock, planner = made(sampler("a"))
+    four = lot(4)
+    planner.add_lot(
+        dataclasses.replace(four, groups_wanted=3), ROUTE, 1_000, ()
+    )
+    assert not finished(planner, 2).is_awaited(clock.now_ms())
+    assert finished(planner, 3).is_awaited(clock.now_ms())
+
+
+def test_results_of_a_lot_that_is_soon_due_are_listed_at_once():
+    clock, planner = made(sampler("a"))
+    planner.add_lot(
+        dataclasses.replace(lot(4), groups_wanted=4), ROUTE, 1_000, ()
+    )
+    clock.advance(ROUTE.due_ms - 1_400)
+    assert finished(planner, 1).is_awaited(clock.now_ms())
+
+
+def test_groups_that_were_listed_before_count_as_complete():
+    clock, planner = made(sampler("a"))
+    planner.add_lot(
+        dataclasses.replace(lot(4), groups_wanted=3),
+        ROUTE,
+        1_000,
+        ("i0", "i1"),
+    )
+    plan = planner.lots["a"]
+    assert not plan.is_awaited(clock.now_ms())
+    plan.groups["g2"][0].stage = serving.Stage.SCORED
+    assert plan.is_awaited(clock.now_ms())
--- a/poplarloft/daemon/serving/listing.py
+++ b/poplarloft/daemon/serving/listing.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ResultList"]
 
-GATHER_MS = 500
+GATHER_MS = 1_000
 RETRY_MS = 200
 MS_PER_S = 1_000
 
@@ -85,7 +85,7 @@
                     await asyncio.sleep(RETRY_MS / MS_PER_S)
 
     def add(self, finished: state.LotResult, at_once: bool) -> None:
-        """Take a result; `at_once` when it makes its group whole."""
+        """Take a result; `at_once` when its trainer waits for it."""
         self.book.add(finished)
         if at_once:
             self._flush()
--- a/poplarloft/daemon/serving/runner.py
+++ b/poplarloft/daemon/serving/runner.py
@@ -300,9 +300,8 @@
             group = plan.groups.get(text.item.group, [])
             if not any(held is text for held in group):
                 continue
-            done = (serving.Stage.SCORED, serving.Stage.FAILED)
-            is_whole = all(held.stage in done for held in group)
-            self.listings[plan.lot.id].add(text.result(), is_whole)
+            is_awaited = plan.is_awaited(self.clock.now_ms())
+            self.listings[plan.lot.id].add(text.result(), is_awaited)
             return
 
     def _on_listed(self, lot_id: str) -> None:
