--- a/poplarloft/daemon/serving/standby.py
+++ b/poplarloft/daemon/serving/standby.py
@@ -17,7 +17,7 @@
 COPIES_VALID_MS = 1_500
 INFORMED = 2  # the runner and its heir may end together
 PONG_MS = 500  # to another region and back, over a new connection
-GENERATION_MS = 4_000
+GENERATION_MS = 10_000  # each sends all texts again
 MAX_COPIES_BYTES = 500_000
 MS_PER_S = 1_000
 
