Make deliberate faults behind the platform too

Cause: `benchmarks mutants` held faults of the own front end only. Thirteen of the platform path join them; two were not found at first: a retry of a request that may have run (no test lost an answer) and older changes taken again (the property test rarely drew it).

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -3,7 +3,6 @@
 Each fault is made in a copy of the tree, where the tests of that part run.
 """
 
-import dataclasses
 import pathlib
 import shutil
 import subprocess
@@ -11,48 +10,49 @@
 import tempfile
 import typing
 
-__all__ = ["MUTANTS", "Mutant", "run"]
+from benchmarks import mutant
+from benchmarks import serving_mutants
+
+__all__ = ["MUTANTS", "run"]
 
 ROOT = pathlib.Path(__file__).parent.parent
-CODE = "poplarloft/coordination"
 TIMEOUT_S = 300
 SMALL_COUNT = 1
 
 
-@dataclasses.dataclass(frozen=True)
-class Mutant:
-    """One deliberate fault: `old` becomes `new`, once, in a module."""
-
-    name: str
-    module: str
-    old: str
-    new: str
-    tests: str
+def _own(
+    name: str, module: str, old: str, new: str, tests: str
+) -> mutant.Mutant:
+    """Return a fault of the own front end's decisions."""
+    folder = "poplarloft/coordination"
+    return mutant.Mutant(
+        name, f"{folder}/{module}.py", old, new, f"{folder}/tests/{tests}.py"
+    )
 
 
 MUTANTS = (
-    Mutant(
+    _own(
         "claim granted on an unknown write",
         "claims",
         "if write.outcome is state.WriteOutcome.APPLIED:",
         "if write.outcome is not state.WriteOutcome.CONFLICT:",
         "test_claims",
     ),
-    Mutant(
+    _own(
         "later window of the ring not noticed",
         "claims",
         "if ledger.window > ledger_id.window:",
         "if False:",
         "test_claims",
     ),
-    Mutant(
+    _own(
         "late write of a given-up claim not released",
         "claims",
         "if waiting.written:",
         "if False:",
         "test_claims",
     ),
-    Mutant(
+    _own(
         "another attempt's claim taken for one's own",
         "claims",
         "if held is not None and held.attempt == attempt:\n"
@@ -60,70 +60,70 @@
         "if held is not None:\n                del entry.waiting[attempt]",
         "test_claims",
     ),
-    Mutant(
+    _own(
         "no bound on receipt",
         "delivery",
         "if not is_fresh(sample, self.weight_version, self.staleness_bound):",
         "if False:",
         "test_delivery",
     ),
-    Mutant(
+    _own(
         "held slots taken again",
         "delivery",
         "if place in self.held:",
         "if False:",
         "test_delivery",
     ),
-    Mutant(
+    _own(
         "over-stale samples kept by the sender",
         "delivery",
         "if not is_fresh(sample, weight_version, self.staleness_bound)",
         "if False",
         "test_delivery",
     ),
-    Mutant(
+    _own(
         "unknown write of the head taken as done",
         "configuration",
         "if outcome is state.WriteOutcome.APPLIED:",
         "if outcome is not state.WriteOutcome.CONFLICT:",
         "test_configuration",
     ),
-    Mutant(
+    _own(
         "revision of the same height taken",
         "configuration",
         "if head.revision <= self.revision:",
         "if head.revision < self.revision:",
         "test_configuration",
     ),
-    Mutant(
+    _own(
         "own mark not looked for",
         "configuration",
         "if self._has_mark(head):",
         "if False:",
         "test_configuration",
     ),
-    Mutant(
+    _own(
         "uncertain version accepted as a label",
         "labels",
         "if chunk.weight_version is None:",
         "if False:",
         "test_weights",
     ),
-    Mutant(
+    _own(
         "late live undoes a leaving",
         "upstreams",
         "if incarnation <= self.leaving.get(name, -1):",
         "if False:",
         "test_requests",
     ),
-    Mutant(
+    _own(
         "timeout taken for a proof of not run",
         "retries",
         "        FailureKind.CONNECT_TIMEOUT,\n",
         "        FailureKind.CONNECT_TIMEOUT,\n        FailureKind.TIMEOUT,\n",
         "test_requests",
     ),
-    Mutant(
+    _own(
         "weights ordered without a lease",
         "weights",
         "if self.fence is None or self.target < 0:",
@@ -133,12 +133,15 @@
 )
 
 
+ALL = MUTANTS + serving_mutants.MUTANTS
+
+
 def run(seed: int, small: bool) -> dict[str, typing.Any]:
     """Return which faults the tests found; `seed` has no effect."""
     rows = []
-    for mutant in MUTANTS[:SMALL_COUNT] if small else MUTANTS:
-        print(mutant.name, file=sys.stderr)
-        rows.append({"fault": mutant.name, "found": _is_found(mutant)})
+    for fault in ALL[:SMALL_COUNT] if small else ALL:
+        print(fault.name, file=sys.stderr)
+        rows.append({"fault": fault.name, "found": _is_found(fault)})
     return {
         "experiment": "mutants",
         "seed": seed,
@@ -148,7 +151,7 @@
     }
 
 
-def _is_found(mutant: Mutant) -> bool:
+def _is_found(fault: mutant.Mutant) -> bool:
     """Make the fault in a copy and run the tests of its part.
 
     Raises
@@ -161,15 +164,15 @@
         shutil.copytree(
             ROOT, copy, ignore=shutil.ignore_patterns(".git", ".venv", ".*_c*")
         )
-        path = copy / CODE / f"{mutant.module}.py"
+        path = copy / fault.module
         source = path.read_text()
-        if mutant.old not in source:
-            raise ValueError(f"{mutant.name}: {mutant.old!r} is not in {path}")
-        path.write_text(source.replace(mutant.old, mutant.new, 1))
+        if fault.old not in source:
+            raise ValueError(f"{fault.name}: {fault.old!r} is not in {path}")
+        path.write_text(source.replace(fault.old, fault.new, 1))
         ended = subprocess.run(
             [
                 *(sys.executable, "-m", "pytest", "-x", "-q"),
-                f"{CODE}/tests/{mutant.tests}.py",
+                fault.tests,
             ],
             cwd=copy,
             env={"PYTHONPATH": str(copy)},
--- a/poplarloft/coordination/serving/tests/test_feeds.py
+++ b/poplarloft/coordination/serving/tests/test_feeds.py
@@ -93,6 +93,22 @@
         assert reader.entries == store.entries_at(reader.revision)
 
 
+def test_a_late_answer_brings_nothing_older_back():
+    store, clock = StoreModel(), state.ManualClock()
+    hub, reader = (serving.PrefixBook(clock, "p/") for _ in range(2))
+    store.change("p/a", False)
+    for book in (hub, reader):
+        store.list_into(book)
+    store.change("p/a", False)
+    store.watch_into(hub)
+    late = hub.part(reader.revision)
+    store.change("p/a", True)
+    store.list_into(reader)
+    take(reader, late)
+    assert reader.entries == {}
+    assert reader.take(late.changes, late.revision) == []
+
+
 def test_more_changes_than_are_kept_are_told_as_a_whole():
     store, clock = StoreModel(), state.ManualClock()
     hub, reader = (serving.PrefixBook(clock, "p/") for _ in range(2))
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -34,6 +34,8 @@
         Identifiers of requests that began to run.
     breaks_after : int or None
         The next text is broken off after so many events.
+    resets : int
+        So many of the next requests run and get no answer.
     failing : int
         So many of the next requests get a status 500.
     """
@@ -55,6 +57,7 @@
         self.fence = 0
         self.breaks_after: int | None = None
         self.failing = 0
+        self.resets = 0
         self.silent = False
         self.server = http_server.HttpServer(
             self._handle,
@@ -112,6 +115,9 @@
         self.run_times.append((request_id, time.monotonic()))
         if self.silent:
             await asyncio.Event().wait()
+        if self.resets > 0:
+            self.resets -= 1
+            raise ConnectionResetError("answer lost on demand")
         if self.failing > 0:
             self.failing -= 1
             return http.HttpResponse(500, (("X-Request-Id", request_id),))
--- a/tests/test_serving_requests.py
+++ b/tests/test_serving_requests.py
@@ -58,6 +58,21 @@
     assert runs(fleet) == ["r1"]
 
 
+async def test_other_request_whose_answer_is_lost_runs_once(fleet):
+    for service in fleet.services:
+        service.resets = 3
+    status, _, _ = await post(fleet, "/once/1")
+    assert status == 502
+    assert runs(fleet) == ["r1"]
+
+
+async def test_idempotent_request_whose_answer_is_lost_is_tried_again(fleet):
+    for service in fleet.services:
+        service.resets = 1
+    assert (await post(fleet, "/p/1"))[0] == 200
+    assert runs(fleet) == ["r1"] * 3
+
+
 async def test_refusal_that_says_not_run_is_true(fleet):
     for service in fleet.services:
         service.slots = 0
