--- a/poplarloft/daemon/tests/test_bad_input.py
+++ b/poplarloft/daemon/tests/test_bad_input.py
@@ -15,6 +15,7 @@
 
 OWNER, OTHER = platform.OWNERS
 LIMIT_BYTES = 2_000
+READY_S = 30
 
 
 def route():
@@ -36,8 +37,9 @@
         body_timeout_ms=200,
         max_head_bytes=2_048,
     )
-    while not node.is_ready:
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(READY_S):
+        while not node.is_ready:
+            await asyncio.sleep(0.01)
     yield node
     await small.stop()
 
