Bound what the HTTP client reads from a server

Cause: an idle connection counted as open while bytes lay on it, so a late second copy of a response answered the next request; a body read whole had no limit on size, and only silence ended it; a run of an item whose engine sends single bytes never ended. Change: a connection with unread bytes, also those still in the kernel, is closed; each reader of a whole body names a limit and is bounded by the timeout of its request; streams end at the request's deadline, and a run ends unless whole events arrive.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -23,6 +23,7 @@
 
 __all__ = ["run"]
 
+MAX_BODY_BYTES = 1_000_000
 REQUESTS = 3_000
 SMALL_REQUESTS = 300
 CONCURRENCY = 16
@@ -200,7 +201,7 @@
         for _ in remaining:
             sent = await client.send(address, "POST", path, HEADERS, b"x" * 64)
             response = sent.unwrap()
-            await response.read()
+            await response.read(MAX_BODY_BYTES)
             assert response.status == 200
 
     started_s = time.perf_counter()
--- a/poplarloft/cli/api.py
+++ b/poplarloft/cli/api.py
@@ -13,6 +13,7 @@
 __all__ = ["ApiError", "DaemonApi"]
 
 TIMEOUT_MS = 30_000
+MAX_ANSWER_BYTES = 67_108_864
 FIRST_ERROR_STATUS = 400
 
 
@@ -78,7 +79,7 @@
         )
         match outcome:
             case result.Success(response):
-                data = await response.read()
+                data = await response.read(MAX_ANSWER_BYTES)
                 client.close()
             case result.Failure(failure):
                 raise ApiError(
--- a/poplarloft/client/rollouts.py
+++ b/poplarloft/client/rollouts.py
@@ -15,6 +15,7 @@
 __all__ = ["PullFailed", "RolloutClient"]
 
 OK = 200
+MAX_ANSWER_BYTES = 67_108_864
 PULL_TIMEOUT_MS = 10_000
 RETRY_MS = 100
 MS_PER_S = 1_000
@@ -123,7 +124,7 @@
     async def _accept(self, response: http_client.UpstreamResponse) -> bool:
         """Accept the samples of a response; return whether it was valid."""
         try:
-            body = await response.read()
+            body = await response.read(MAX_ANSWER_BYTES)
             if response.status != OK:
                 return False
             samples = pulls.decode_pull_answer(body)
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -18,6 +18,7 @@
 __all__ = ["Dispatcher", "Outcome"]
 
 SERVICE_UNAVAILABLE = 503
+MAX_RESPONSE_BYTES = 33_554_432  # a streamed response has no limit
 CRASH_CHECK_TIMEOUT_MS = 300
 # Crash counts get this much time to reach the neighbours before the request
 # is sent again.
@@ -335,11 +336,12 @@
             return self._on_refusal(upstream, answer)
         headers = calls.returned_headers(answer.headers)
         if call.route.streamed:
+            answer.limit_to_timeout()
             return result.Success(
                 http.HttpResponse(answer.status, headers, answer.chunks())
             )
         try:
-            body = await answer.read()
+            body = await answer.read(MAX_RESPONSE_BYTES)
         except http_client.TruncatedResponseError as error:
             return result.Failure(
                 coordination.Failure(
--- a/poplarloft/daemon/generation.py
+++ b/poplarloft/daemon/generation.py
@@ -17,6 +17,7 @@
 __all__ = ["GeneratedSample", "GenerationFailure", "SampleProducer"]
 
 OK = 200
+MAX_SCORE_BYTES = 65_536
 ROLLOUT_PRIORITY = 10
 SCORE_TIMEOUT_MS = 5_000
 SCORE_RETRY_MS = 200
@@ -251,7 +252,7 @@
         match sent:
             case result.Success(answer):
                 try:
-                    body = await answer.read()
+                    body = await answer.read(MAX_SCORE_BYTES)
                     if answer.status == OK:
                         return result.Success(engine.decode_score(body))
                 except (OSError, msgspec.MsgspecError) as error:
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -188,6 +188,7 @@
             self._record_failure(call, sampler, failure, history)
             return None
         headers = samplers.returned_headers(response)
+        response.limit_to_timeout()
         if route.kind is state.RouteKind.STREAM:
             return http.HttpResponse(
                 response.status, headers, response.chunks()
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -251,6 +251,7 @@
         output, view = run.output, run.view
         reader = samplers.EventReader()
         last_ms = None
+        response.set_deadline(FIRST_EVENT_TIMEOUT_MS)
         try:
             async for chunk in response.chunks():
                 events = reader.feed(chunk)
@@ -265,7 +266,8 @@
                 if last_ms is not None:
                     view.on_event((now_ms - last_ms) / len(events))
                 last_ms = now_ms
-                response.idle_timeout_ms = int(
+                # Only whole events count as progress, not single bytes.
+                response.set_deadline(
                     max(
                         MIN_STALL_TIMEOUT_MS,
                         STALL_INTERVALS * view.event_interval_ms,
--- a/poplarloft/daemon/serving/rewards.py
+++ b/poplarloft/daemon/serving/rewards.py
@@ -15,6 +15,7 @@
 
 CALL_TIMEOUT_MS = 2_500
 RETRY_MS = 100
+MAX_SCORE_BYTES = 1_048_576
 RESERVED_SLOTS = 1  # per upstream, for requests of clients
 MS_PER_S = 1_000
 
@@ -149,7 +150,7 @@
             response.close()
             return "response belongs to another request"
         try:
-            await response.read()
+            await response.read(MAX_SCORE_BYTES)
         except http_client.TruncatedResponseError as error:
             return str(error)
         signature = samplers.signature(response)
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -252,7 +252,7 @@
         match sent:
             case result.Success(response):
                 try:
-                    body = await response.read()
+                    body = await response.read(platform_store.MAX_ANSWER_BYTES)
                 except http_client.TruncatedResponseError:
                     return http.HttpResponse(GATEWAY_TIMEOUT)
                 return http.HttpResponse(response.status, (), body)
--- a/poplarloft/daemon/upstreams.py
+++ b/poplarloft/daemon/upstreams.py
@@ -20,6 +20,8 @@
 MS_PER_S = 1_000
 POLL_TIMEOUT_MS = 1_000
 OK = 200
+MAX_LIST_BYTES = 16_777_216
+MAX_STATE_BYTES = 4_194_304
 SAME_REGION_COST_MS = 4.0
 OTHER_REGION_COST_MS = 250.0
 
@@ -174,7 +176,7 @@
         self, response: http_client.UpstreamResponse
     ) -> None:
         try:
-            body = await response.read()
+            body = await response.read(MAX_LIST_BYTES)
             if response.status != OK:
                 return
             upstreams = platform.decode_instances(body)
@@ -190,7 +192,7 @@
         match sent:
             case result.Success(response):
                 try:
-                    body = await response.read()
+                    body = await response.read(MAX_STATE_BYTES)
                     report = engine.decode_engine_state(body)
                 except (OSError, msgspec.MsgspecError):
                     return
--- a/poplarloft/daemon/weights.py
+++ b/poplarloft/daemon/weights.py
@@ -21,6 +21,7 @@
 PLAN_INTERVAL_MS = 250
 MS_PER_S = 1_000
 OK = 200
+MAX_ANSWER_BYTES = 65_536
 
 
 class WeightService:
@@ -194,7 +195,7 @@
 
 async def _is_accepted(response: http_client.UpstreamResponse) -> bool:
     try:
-        body = await response.read()
+        body = await response.read(MAX_ANSWER_BYTES)
         if response.status != OK:
             return False
         return engine.decode_order_answer(body).accepted
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -24,6 +24,8 @@
 STALE_FENCE = 412
 MISDIRECTED = 421
 CALL_TIMEOUT_MS = 1_000
+MAX_REPORT_BYTES = 262_144
+MAX_DISCARDED_BYTES = 16_384
 FailureKind = retries.FailureKind
 HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding"}
@@ -283,9 +285,12 @@
 
 
 async def discard(response: http_client.UpstreamResponse) -> None:
-    """Read the rest of a response, so that its connection can be reused."""
+    """Read the rest of a response, so that its connection can be reused.
+
+    The connection is closed instead if the rest is large or late.
+    """
     try:
-        await response.read()
+        await response.read(MAX_DISCARDED_BYTES)
     except http_client.TruncatedResponseError:
         response.close()
 
@@ -294,7 +299,7 @@
     response: http_client.UpstreamResponse,
 ) -> EngineReport | None:
     try:
-        body = await response.read()
+        body = await response.read(MAX_REPORT_BYTES)
         row = msgspec.json.decode(body, type=_Report)
     except (http_client.TruncatedResponseError, msgspec.MsgspecError):
         return None
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -14,9 +14,10 @@
 from poplarloft.transport import errors
 from poplarloft.transport import http_client
 
-__all__ = ["PlatformStore"]
+__all__ = ["MAX_ANSWER_BYTES", "PlatformStore"]
 
 WATCH_MARGIN_MS = 1_000  # a response may be in flight when the wait ends
+MAX_ANSWER_BYTES = 16_777_216  # a page or the events of a watch
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -225,9 +226,8 @@
         match sent:
             case result.Success(response):
                 try:
-                    return result.Success(
-                        _Reply(response.status, await response.read())
-                    )
+                    content = await response.read(MAX_ANSWER_BYTES)
+                    return result.Success(_Reply(response.status, content))
                 except http_client.TruncatedResponseError as error:
                     self.client.close_idle(self.address)
                     return _failure(FailureKind.NO_ANSWER, str(error))
--- a/poplarloft/transport/connections.py
+++ b/poplarloft/transport/connections.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import re
+import select
 import socket
+import ssl
 import time
+import typing
 
 import h11
 
 from poplarloft.protocol import http
+from poplarloft import state
 
-__all__ = ["Connection", "read_head", "write_and_read"]
+__all__ = ["Connection", "open_connection", "read_head", "write_and_read"]
 
 READ_BYTES = 65_536
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -23,6 +27,19 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
+class _CountingReader(asyncio.StreamReader):
+    """A stream reader that counts the bytes that have arrived."""
+
+    def __init__(self) -> None:
+        super().__init__(READ_BYTES, asyncio.get_running_loop())
+        self.arrived_bytes = 0
+
+    def feed_data(self, data: typing.Any) -> None:
+        """Buffer data that has arrived."""
+        self.arrived_bytes += len(data)
+        super().feed_data(data)
+
+
 class Connection:
     """A client connection and the state of its current exchange.
 
@@ -34,10 +51,11 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: _CountingReader, writer: asyncio.StreamWriter
     ) -> None:
         self.reader = reader
         self.writer = writer
+        self.read_bytes = 0
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -52,13 +70,27 @@
             self.expires_s = time.monotonic() + idle_s
 
     def is_open(self) -> bool:
-        """Return whether the idle connection can take a request."""
+        """Return whether the idle connection can take a request.
+
+        Any bytes on it belong to no request, such as a second copy of an
+        earlier response, and would be taken for the next response.
+        """
         return (
             not self.reader.at_eof()
             and not self.writer.is_closing()
             and time.monotonic() < self.expires_s
+            and not self.has_unread_bytes()
         )
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the peer's end, have arrived unread."""
+        if self.reader.arrived_bytes > self.read_bytes:
+            return True
+        # Bytes that the event loop has not received yet.
+        poller = select.poll()
+        poller.register(self.writer.get_extra_info("socket"), select.POLLIN)
+        return bool(poller.poll(0))
+
     def close(self) -> None:
         """Abort the connection; unsent data is discarded."""
         self.writer.transport.abort()
@@ -70,6 +102,7 @@
             states[h11.CLIENT] is h11.DONE
             and states[h11.SERVER] is h11.DONE
             and not self.http.trailing_data[0]
+            and self.reader.arrived_bytes == self.read_bytes
             and not self.reader.at_eof()
             and not self.writer.is_closing()
         )
@@ -80,7 +113,9 @@
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.http.receive_data(await self.reader.read(READ_BYTES))
+            data = await self.reader.read(READ_BYTES)
+            self.read_bytes += len(data)
+            self.http.receive_data(data)
 
     def buffered_event(self) -> Event:
         """Return the next event from data that was read already.
@@ -90,6 +125,20 @@
         return self.http.next_event()
 
 
+async def open_connection(
+    address: state.Address, tls: ssl.SSLContext | None
+) -> Connection:
+    """Connect to an address; raises `OSError` if that fails."""
+    loop = asyncio.get_running_loop()
+    reader = _CountingReader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    transport, _ = await loop.create_connection(
+        lambda: protocol, address.host, address.port, ssl=tls
+    )
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    return Connection(reader, writer)
+
+
 def _enable_keepalive_probes(writer: asyncio.StreamWriter) -> None:
     """Enable TCP keep-alive on IPv4 connections.
 
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -14,7 +14,12 @@
 from poplarloft.transport import connections
 from poplarloft.transport import errors
 
-__all__ = ["HttpClient", "TruncatedResponseError", "UpstreamResponse"]
+__all__ = [
+    "HttpClient",
+    "ResponseTooLargeError",
+    "TruncatedResponseError",
+    "UpstreamResponse",
+]
 
 MS_PER_S = 1_000
 FailureKind = retries.FailureKind
@@ -23,19 +28,31 @@
 class TruncatedResponseError(ConnectionError):
     """The body of a response stopped before its end.
 
-    Raised when the connection is lost and when no data arrives within the
-    idle timeout.
+    Raised when the connection is lost, when no data arrives within the
+    idle timeout, and when the deadline of the response passes.
     """
 
 
+class ResponseTooLargeError(TruncatedResponseError):
+    """A body is larger than the caller allows; the rest was not read."""
+
+
 class UpstreamResponse:
     """The head of a response, and its body as a stream.
 
     A response that is not read to its end must be closed; its connection is
-    not reused. Reading fails if no data arrives for `idle_timeout_ms`.
+    not reused. Reading fails if no data arrives for `idle_timeout_ms`, or,
+    if there is a deadline, once that has passed. A body that is read as a
+    whole must arrive within the timeout of the request.
 
     Attributes
     ----------
+    expires_s : float
+        Time on the event loop's clock at which the timeout of the request
+        ends.
+    deadline_s : float or None
+        Time on the event loop's clock at which reading fails even if data
+        keeps arriving; None for a timeout between two chunks only.
     ended : bool
         Whether the whole body has been read.
     is_closed : bool
@@ -49,11 +66,14 @@
         connection: connections.Connection,
         head: h11.Response,
         idle_timeout_ms: int,
+        expires_s: float,
     ) -> None:
         self.pool = pool
         self.address = address
         self.connection = connection
         self.idle_timeout_ms = idle_timeout_ms
+        self.expires_s = expires_s
+        self.deadline_s: float | None = None
         self.status = int(head.status_code)
         self.headers = {
             name.decode("ascii"): value.decode("latin-1")
@@ -63,25 +83,48 @@
         self.is_closed = False
         connection.apply_keep_alive(self.headers.get("keep-alive", ""))
 
+    def limit_to_timeout(self) -> None:
+        """Let reading fail once the timeout of the request has ended."""
+        self.deadline_s = self.expires_s
+
+    def set_deadline(self, timeout_ms: float) -> None:
+        """Let reading fail in `timeout_ms`, even if data keeps arriving."""
+        now_s = asyncio.get_running_loop().time()
+        self.deadline_s = now_s + timeout_ms / MS_PER_S
+
     async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body, one chunk per read of the socket.
 
         Raises
         ------
         TruncatedResponseError
-            If the upstream ends the connection before the body's end.
+            If the upstream ends the connection before the body's end, or
+            does not send it in time.
         """
         try:
             while not self.ended:
-                chunk = await self._read_chunk()
+                chunk = await self._read_chunk(self.deadline_s)
                 if chunk:
                     yield chunk
         finally:
             self.close()
 
-    async def read(self) -> bytes:
-        """Return the complete body; raises `TruncatedResponseError`."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the complete body.
+
+        Raises
+        ------
+        ResponseTooLargeError
+            If the body is larger than `max_bytes`.
+        TruncatedResponseError
+            If the body does not arrive completely before the timeout of
+            the request.
+        """
+        body = await self.read_up_to(max_bytes + 1)
+        if len(body) > max_bytes:
+            self.close()
+            raise ResponseTooLargeError(f"body is over {max_bytes} bytes")
+        return body
 
     async def read_up_to(self, size: int) -> bytes:
         """Return the first bytes of the body, up to about `size`.
@@ -92,13 +135,14 @@
         Raises
         ------
         TruncatedResponseError
-            If the upstream ends the connection before the body's end.
+            If the upstream ends the connection before the body's end, or
+            does not send it before the timeout of the request.
         """
         chunks: list[bytes] = []
         size_read = 0
         try:
             while not self.ended and size_read < size:
-                chunk = await self._read_chunk()
+                chunk = await self._read_chunk(self.expires_s)
                 size_read += len(chunk)
                 chunks.append(chunk)
         except BaseException:
@@ -122,19 +166,24 @@
         else:
             self.connection.close()
 
-    async def _read_chunk(self) -> bytes:
+    async def _read_chunk(self, deadline_s: float | None) -> bytes:
         """Return the data of one read of the socket, which may be empty."""
+        limit_s = deadline_s
+        if limit_s is None:
+            now_s = asyncio.get_running_loop().time()
+            limit_s = now_s + self.idle_timeout_ms / MS_PER_S
         try:
-            async with asyncio.timeout(self.idle_timeout_ms / MS_PER_S):
+            async with asyncio.timeout_at(limit_s):
                 event = await self.connection.next_event()
             chunks = []
             while isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
                 event = self.connection.buffered_event()
         except TimeoutError as error:
-            raise TruncatedResponseError(
-                f"no data arrived in {self.idle_timeout_ms} ms"
-            ) from error
+            detail = f"no data arrived in {self.idle_timeout_ms} ms"
+            if deadline_s is not None:
+                detail = "the body did not arrive in time"
+            raise TruncatedResponseError(detail) from error
         except (OSError, h11.RemoteProtocolError) as error:
             raise TruncatedResponseError(
                 str(error) or "connection lost"
@@ -189,7 +238,8 @@
             unless given.
         timeout_ms : int
             Maximum time until the head of the response has arrived, and
-            between two chunks of its body.
+            between two chunks of its body. Also the maximum time for a
+            body that is read as a whole.
         new_connection : bool
             Whether to open a new connection. The upstream may have closed
             an idle one, and a client cannot tell that from a failure after
@@ -250,9 +300,7 @@
             connection.close()
         try:
             async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
-                reader, writer = await asyncio.open_connection(
-                    address.host, address.port, ssl=self.tls
-                )
+                opened = await connections.open_connection(address, self.tls)
         except TimeoutError:
             return result.Failure(
                 errors.TransportFailure(
@@ -266,7 +314,7 @@
                     FailureKind.CONNECT_REFUSED, str(error)
                 )
             )
-        return result.Success(connections.Connection(reader, writer))
+        return result.Success(opened)
 
     async def _exchange(
         self,
@@ -277,8 +325,10 @@
         timeout_ms: int,
     ) -> result.Result[UpstreamResponse, errors.TransportFailure]:
         kind = FailureKind.RESET_AFTER_SEND
+        now_s = asyncio.get_running_loop().time()
+        expires_s = now_s + timeout_ms / MS_PER_S
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_S):
+            async with asyncio.timeout_at(expires_s):
                 if isinstance(body, bytes):
                     await self._write(connection, request, body)
                     head = await connections.read_head(connection)
@@ -287,7 +337,9 @@
                         connection, request, body
                     )
             return result.Success(
-                UpstreamResponse(self, address, connection, head, timeout_ms)
+                UpstreamResponse(
+                    self, address, connection, head, timeout_ms, expires_s
+                )
             )
         except TimeoutError:
             kind = FailureKind.TIMEOUT
--- a/poplarloft/transport/key_value.py
+++ b/poplarloft/transport/key_value.py
@@ -15,6 +15,7 @@
 
 WATCH_WAIT_MS = 25_000
 OK = 200
+MAX_ANSWER_BYTES = 16_777_216
 CONFLICT = 409
 
 
@@ -122,7 +123,7 @@
     response: http_client.UpstreamResponse,
 ) -> result.Result[state.Versioned, state.Refusal]:
     try:
-        body = await response.read()
+        body = await response.read(MAX_ANSWER_BYTES)
         if response.status != OK:
             return _unavailable(f"status {response.status}")
         return result.Success(platform.decode_key_value(body))
@@ -135,7 +136,7 @@
 ) -> state.WriteResult:
     unknown = state.WriteResult(state.WriteOutcome.UNKNOWN)
     try:
-        body = await response.read()
+        body = await response.read(MAX_ANSWER_BYTES)
         if response.status == CONFLICT:
             return state.WriteResult(state.WriteOutcome.CONFLICT)
         if response.status != OK:
@@ -150,7 +151,7 @@
     response: http_client.UpstreamResponse, name: str, holder: str, ttl_ms: int
 ) -> result.Result[state.Lease, state.Refusal]:
     try:
-        body = await response.read()
+        body = await response.read(MAX_ANSWER_BYTES)
         if response.status not in (OK, CONFLICT):
             return _unavailable(f"status {response.status}")
         lease = platform.decode_lease(body)
--- a/poplarloft_soak/clients.py
+++ b/poplarloft_soak/clients.py
@@ -14,6 +14,7 @@
 
 __all__ = ["CallRecord", "Callers", "LotRecord"]
 
+MAX_BODY_BYTES = 1_000_000
 CALL_INTERVAL_S = 0.04
 CALL_TIMEOUT_MS = 2_500
 LOT_TIMEOUT_S = 60
@@ -169,7 +170,7 @@
                     return (
                         response.status,
                         response.headers,
-                        await response.read(),
+                        await response.read(MAX_BODY_BYTES),
                     )
                 except http_client.TruncatedResponseError:
                     return 0, {}, b""
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -15,6 +15,7 @@
 __all__ = ["CallOutcome", "Caller", "CallerRecord"]
 
 OK = 200
+MAX_ANSWER_BYTES = 1_048_576
 MS_PER_S = 1_000
 
 
@@ -127,7 +128,7 @@
         self, request_key: str, response: http_client.UpstreamResponse
     ) -> CallOutcome:
         try:
-            body = await response.read()
+            body = await response.read(MAX_ANSWER_BYTES)
         except OSError:
             return CallOutcome.TRUNCATED
         if response.status == OK:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -31,6 +31,7 @@
 # typical length of an output.
 FEW_TOKENS = 4
 OK = 200
+MAX_WEIGHTS_BYTES = 1_073_741_824
 
 
 def true_version(token: int) -> int:
@@ -292,7 +293,7 @@
             )
             match outcome:
                 case result.Success(response):
-                    await response.read()
+                    await response.read(MAX_WEIGHTS_BYTES)
                     if response.status != OK:
                         return engine.OrderAnswer(
                             accepted=False,
