Serve connections made just before a stop; peers

An error in a handler of peers' messages left the rest of the socket unread, and a flooding peer kept the loop. Change: the backlog is accepted before the listener closes; messages of peers are read in bounded turns and an error costs only its message. Errors outside tasks are logged.

--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -168,7 +168,6 @@
 
     async def kill(self) -> None:
         """Stop at once, as in a crash; for tests and the demo."""
-        self.server.stop_listening()
         await self.server.drain(0)
         await self.task_set.cancel_all()
         if self.fleet is not None:
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -10,6 +10,7 @@
 from poplarloft.daemon.serving import entry
 from poplarloft.daemon.serving import reloading
 from poplarloft.daemon.serving import telemetry
+from poplarloft.daemon import tasks
 from poplarloft.protocol import addresses
 from poplarloft.protocol import serving_settings
 from poplarloft import state
@@ -37,6 +38,7 @@
     arguments: abc.Sequence[str],
     recorder: telemetry.Telemetry,
 ) -> None:
+    tasks.log_unhandled_errors()
     daemon: entry.EntryDaemon | bulk.BulkDaemon
     if settings.duty == "entry":
         daemon = entry.EntryDaemon(settings)
--- a/poplarloft/daemon/standalone.py
+++ b/poplarloft/daemon/standalone.py
@@ -6,6 +6,7 @@
 
 from poplarloft.daemon import logs
 from poplarloft.daemon import node as node_module
+from poplarloft.daemon import tasks
 from poplarloft.protocol import settings as settings_module
 
 __all__ = ["run_standalone"]
@@ -25,6 +26,7 @@
 
 
 async def _run(settings: settings_module.DaemonSettings) -> None:
+    tasks.log_unhandled_errors()
     node = node_module.Node(settings)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/poplarloft/daemon/tasks.py
+++ b/poplarloft/daemon/tasks.py
@@ -6,11 +6,26 @@
 
 import eliot
 
-__all__ = ["TaskSet", "WakeTimer"]
+__all__ = ["TaskSet", "WakeTimer", "log_unhandled_errors"]
 
 MS_PER_S = 1_000
 
 
+def log_unhandled_errors() -> None:
+    """Log errors that no task handles, instead of printing them."""
+    asyncio.get_running_loop().set_exception_handler(_log_unhandled)
+
+
+def _log_unhandled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+) -> None:
+    eliot.log_message(
+        "unhandled-error",
+        detail=context["message"],
+        error=repr(context.get("exception")),
+    )
+
+
 class TaskSet:
     """Holds references to running tasks and logs those that fail."""
 
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server on h11 and asyncio, with limits on size and time."""
 
 import asyncio
+import socket
 import ssl
 
 import h11
@@ -12,6 +13,8 @@
 __all__ = ["Handler", "HttpServer", "ServerLimits"]
 
 READ_BYTES = 65_536
+BACKLOG = 1_024
+ATTACH_STEPS = 2  # iterations of the event loop
 MS_PER_S = 1_000
 Handler = http_session.Handler
 BodyLimit = http_session.BodyLimit
@@ -55,25 +58,47 @@
         self.may_stream = may_stream
         self.sessions: dict[asyncio.Task[None], http_session.Session] = {}
         self.draining = False
+        self.listener: socket.socket | None = None
         self.server: asyncio.Server | None = None
 
     async def start(self, address: state.Address) -> state.Address:
         """Listen on `address`; return it with the port that was bound."""
+        self.listener = socket.create_server(
+            (address.host, address.port), backlog=BACKLOG
+        )
+        self.listener.setblocking(False)
         self.server = await asyncio.start_server(
             self._accept,
-            address.host,
-            address.port,
+            sock=self.listener,
             limit=READ_BYTES,
             ssl=self.tls,
-            backlog=1_024,
+            backlog=BACKLOG,
         )
-        host, port = self.server.sockets[0].getsockname()[:2]
+        host, port = self.listener.getsockname()[:2]
         return state.Address(host, port)
 
-    def stop_listening(self) -> None:
-        """Accept no further connections; open ones are still served."""
-        if self.server is not None:
-            self.server.close()
+    async def stop_listening(self) -> None:
+        """Accept no further connections; open ones are still served.
+
+        The kernel resets established connections that nobody has accepted
+        when their listener closes, so these are accepted first.
+        """
+        server, self.server = self.server, None
+        listener, self.listener = self.listener, None
+        if server is None or listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(listener.fileno())
+        # The server must still be open when the connections that it has
+        # just accepted are attached to it.
+        for _ in range(ATTACH_STEPS):
+            await asyncio.sleep(0)
+        accepted = _accept_all(listener)
+        server.close()
+        for connection in accepted:
+            await loop.connect_accepted_socket(
+                self._new_protocol, connection, ssl=self.tls
+            )
 
     async def drain(self, timeout_ms: int) -> int:
         """Close idle connections and wait for exchanges in flight.
@@ -85,7 +110,7 @@
             closed after `timeout_ms`.
         """
         self.draining = True
-        self.stop_listening()
+        await self.stop_listening()
         for session in self.sessions.values():
             session.end_if_idle()
         if self.sessions:
@@ -97,6 +122,11 @@
             task.cancel()
         return cut
 
+    def _new_protocol(self) -> asyncio.StreamReaderProtocol:
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(READ_BYTES, loop)
+        return asyncio.StreamReaderProtocol(reader, self._accept, loop)
+
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -111,6 +141,18 @@
         task.add_done_callback(lambda ended: self.sessions.pop(ended).close())
 
 
+def _accept_all(listener: socket.socket) -> list[socket.socket]:
+    """Return all connections that wait to be accepted."""
+    connections = []
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return connections
+        connection.setblocking(False)
+        connections.append(connection)
+
+
 async def _serve(session: http_session.Session) -> None:
     try:
         await session.run()
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -19,6 +19,7 @@
 # Value of TCP_MAXRT: the maximum time for which unacknowledged data is
 # retransmitted.
 RETRANSMIT_TIMEOUT_MS = 3_000
+MAX_MESSAGES_PER_TURN = 100  # then other tasks of the event loop run
 MAX_MESSAGE_BYTES = 2_000_000
 
 
@@ -51,7 +52,8 @@
     Parameters
     ----------
     on_message : callable
-        Called with the bytes of each message.
+        Called with the bytes of each message. An error that it raises is
+        passed to the event loop's exception handler.
     keys : CurveKeys or None
         Keys for CURVE; None for unencrypted sockets.
     """
@@ -93,19 +95,31 @@
         loop.call_soon(self._on_readable)
 
     def _on_readable(self) -> None:
-        """Receive all messages that have arrived.
+        """Receive the messages that have arrived, a bounded number a turn.
 
         The descriptor of a ZeroMQ socket is edge-triggered, so that a
         message left in the queue would not be reported again.
         """
-        if self.receiver is None:
-            return
-        while True:
+        for _ in range(MAX_MESSAGES_PER_TURN):
+            if self.receiver is None:
+                return
             try:
                 data = self.receiver.recv(zmq.NOBLOCK)
             except zmq.Again:
                 return
+            self._deliver(data)
+        asyncio.get_running_loop().call_soon(self._on_readable)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
             self.on_message(data)
+        except Exception as error:
+            asyncio.get_running_loop().call_exception_handler(
+                {
+                    "message": "a message of a peer was not handled",
+                    "exception": error,
+                }
+            )
 
     def send(
         self,
--- a/poplarloft/transport/tests/test_http.py
+++ b/poplarloft/transport/tests/test_http.py
@@ -1,6 +1,7 @@
 """Connections that end early, stall or arrive during shutdown."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -127,3 +128,26 @@
     response = (await sending).unwrap()
     assert await response.read(MAX_BODY_BYTES) == b"late"
     assert await draining == 0
+
+
+@pytest.mark.parametrize("accepted", [False, True])
+async def test_connections_made_just_before_a_stop_are_served(accepted):
+    """Whether the event loop has just accepted them, or not noticed them."""
+    server, address = await serve(respond_ok)
+    loop = asyncio.get_running_loop()
+    sockets = []
+    for _ in range(20):
+        sock = socket.create_connection((address.host, address.port))
+        sock.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        sock.setblocking(False)
+        sockets.append(sock)
+    if accepted:
+        await asyncio.sleep(0)
+    draining = asyncio.create_task(server.drain(5_000))
+    for sock in sockets:
+        async with asyncio.timeout(5):
+            assert (await loop.sock_recv(sock, 100)).startswith(
+                b"HTTP/1.1 200"
+            )
+        sock.close()
+    assert await draining == 0
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -17,6 +17,7 @@
 OK = 200
 MAX_ANSWER_BYTES = 1_048_576
 MS_PER_S = 1_000
+CONNECT_TIMEOUT_MS = 20_000  # a busy machine may take seconds
 
 
 class CallOutcome(enum.StrEnum):
@@ -49,6 +50,7 @@
 
     sent: int = 0
     outcomes: dict[str, CallOutcome] = dataclasses.field(default_factory=dict)
+    failures: dict[str, str] = dataclasses.field(default_factory=dict)
     wrong_answers: int = 0
 
     def count(self, outcome: CallOutcome) -> int:
@@ -72,7 +74,7 @@
     ) -> None:
         self.addresses = list(addresses)
         self.token = token
-        self.client = http_client.HttpClient()
+        self.client = http_client.HttpClient(CONNECT_TIMEOUT_MS)
         self.record = CallerRecord()
         self.position = 0
 
@@ -122,6 +124,8 @@
         match result_or_failure:
             case result.Success(response):
                 return await self._classify(request_key, response)
+            case result.Failure(failure):
+                self.record.failures[request_key] = str(failure)
         return CallOutcome.NO_ANSWER
 
     async def _classify(
