--- a/poplarloft/coordination/admission.py
+++ b/poplarloft/coordination/admission.py
@@ -26,6 +26,7 @@
 
 LIVE_CLASS = "live"
 DEVIATION_FACTOR = 3.0
+MIN_RETRY_AFTER_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -195,7 +196,8 @@
             waiting = heapq.heappop(flow.queue)
             flow.queued_cost_ms -= waiting.cost_ms
             if self.clock.now_ms() > waiting.latest_start_ms:
-                decisions.append(Refused(waiting.ticket, _overload_refusal(0)))
+                refusal = _late_refusal(0)
+                decisions.append(Refused(waiting.ticket, refusal))
                 continue
             self.virtual_ms = flow.start_tag
             flow.start_tag += waiting.cost_ms / flow.weight
@@ -212,8 +214,13 @@
     ) -> state.Refusal | None:
         starts_ms = self.clock.now_ms() + self._predicted_wait_ms(flow)
         late_ms = starts_ms - latest_start_ms
-        if late_ms > 0 or len(flow.queue) >= self.settings.max_queued:
-            return _overload_refusal(max(0, round(late_ms)))
+        if late_ms > 0:
+            return _late_refusal(round(late_ms))
+        if len(flow.queue) >= self.settings.max_queued:
+            return _overload_refusal(
+                f"the queue has {len(flow.queue)} requests and is full",
+                MIN_RETRY_AFTER_MS,
+            )
         return None
 
     def _predicted_wait_ms(self, flow: _Flow) -> float:
@@ -298,10 +305,17 @@
         )
 
 
-def _overload_refusal(late_ms: int) -> state.Refusal:
+def _late_refusal(late_ms: int) -> state.Refusal:
+    return _overload_refusal(
+        f"the deadline would be missed by {late_ms} ms",
+        max(MIN_RETRY_AFTER_MS, late_ms),
+    )
+
+
+def _overload_refusal(detail: str, retry_after_ms: int) -> state.Refusal:
     return state.Refusal(
         state.Reason.OVERLOADED,
         state.Verdict.NOT_RUN,
-        "the queue is full or the deadline cannot be met",
-        max(1_000, late_ms),
+        detail,
+        retry_after_ms,
     )
--- a/poplarloft/coordination/tests/test_requests.py
+++ b/poplarloft/coordination/tests/test_requests.py
@@ -218,6 +218,22 @@
     assert 5 <= batch <= 15
 
 
+def test_full_queue_and_missed_deadline_are_refused_for_different_reasons():
+    clock = state.ManualClock()
+    settings = coordination.AdmissionSettings(max_concurrent=1, max_queued=1)
+    admission = coordination.AdmissionController(clock, settings)
+    cost = coordination.CostEstimate(10.0)
+
+    def refusal_of(deadline_ms):
+        _, decisions = admission.request("a", "live", cost, deadline_ms)
+        return decisions[0].refusal.detail if decisions else None
+
+    assert "missed by" in refusal_of(1)
+    admission.request("a", "live", cost, 100_000)
+    assert refusal_of(100_000) is None
+    assert "is full" in refusal_of(100_000)
+
+
 registry_events = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(["list", "notice"]),
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
 
 from returns import result
@@ -184,7 +185,7 @@
         call: calls.RelayCall,
         excluded: frozenset[str],
         weight_version: int | None,
-    ) -> AttemptOutcome:
+    ) -> resuming.ResumeOutcome:
         """Request the rest of an interrupted stream from another engine.
 
         Only engines that report `weight_version` are tried.
@@ -209,15 +210,21 @@
         finish = self._begin_attempt(call, upstream, call.route_request)
         outcome = await self._send(call, upstream)
         match outcome:
-            case result.Success(http.HttpResponse(body=body) as response):
+            case result.Success(http.HttpResponse(status=200, body=body)):
                 if not isinstance(body, bytes):
                     finish.purpose = attempts.PURPOSE_ANSWERED
                     rest = self._watch_stream(body, upstream, finish)
-                    return result.Success(
-                        dataclasses.replace(response, body=rest)
-                    )
+                    return result.Success(resuming.ResumedStream(name, rest))
         finish()
-        return outcome
+        match outcome:
+            case result.Success(response):
+                await _discard(response)
+                kind = coordination.FailureKind.REFUSED_WITHOUT_PROOF
+                detail = f"status {response.status}"
+                return result.Failure(coordination.Failure(name, kind, detail))
+            case result.Failure(failure):
+                return result.Failure(failure)
+        raise AssertionError(outcome)
 
     def _serves_version(self, name: str, weight_version: int | None) -> bool:
         """Return whether an engine last reported a weight version."""
@@ -379,3 +386,13 @@
             budget = coordination.RetryBudget(self.clock)
             self.budgets[call.flow_key] = budget
         return budget
+
+
+async def _discard(response: http.HttpResponse) -> None:
+    """Close the connection behind a streamed body that nobody reads."""
+    if isinstance(response.body, bytes):
+        return
+    with contextlib.suppress(OSError):
+        # A generator runs its clean-up only if it has been started.
+        await anext(response.body, b"")
+    await response.body.aclose()  # type: ignore[attr-defined]
--- a/poplarloft/daemon/resuming.py
+++ b/poplarloft/daemon/resuming.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import itertools
 
 import eliot
 import msgspec
@@ -9,20 +10,34 @@
 
 from poplarloft import coordination
 from poplarloft.daemon import calls
-from poplarloft.protocol import http
 from poplarloft.protocol import streams
 from poplarloft import state
 from poplarloft.transport import http_client
 
-__all__ = ["StreamResumer"]
+__all__ = ["ResumedStream", "StreamResumer"]
 
 COMPLETIONS_PATH = "/v1/completions"
 MAX_RESUMES = 2
 
-AttemptOutcome = result.Result[http.HttpResponse, coordination.Failure]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumedStream:
+    """The rest of an interrupted stream.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the engine that sends it.
+    """
+
+    upstream: str
+    body: abc.AsyncIterator[bytes]
+
+
+ResumeOutcome = result.Result[ResumedStream, coordination.Failure]
 Send = abc.Callable[
     [calls.RelayCall, frozenset[str], int | None],
-    abc.Awaitable[AttemptOutcome],
+    abc.Awaitable[ResumeOutcome],
 ]
 
 
@@ -72,8 +87,8 @@
         request = streams.read_completion(call.request.body)
         assert request is not None
         progress = streams.StreamProgress(request)
-        failed = frozenset({upstream.name})
-        for _ in range(MAX_RESUMES + 1):
+        failed = {upstream.name}
+        for interruptions in itertools.count(1):
             try:
                 async for lines in streams.complete_lines(body):
                     for line in lines:
@@ -85,17 +100,22 @@
                 await body.aclose()  # type: ignore[attr-defined]
             if progress.done:
                 return
-            body = await self._resume_elsewhere(call, progress, failed)
-        raise http_client.TruncatedResponseError(
-            f"completion stream interrupted more than {MAX_RESUMES} times"
-        )
+            if interruptions > MAX_RESUMES:
+                raise http_client.TruncatedResponseError(
+                    f"completion stream interrupted {interruptions} times"
+                )
+            resumed = await self._resume_elsewhere(
+                call, progress, frozenset(failed)
+            )
+            failed.add(resumed.upstream)
+            body = resumed.body
 
     async def _resume_elsewhere(
         self,
         call: calls.RelayCall,
         progress: streams.StreamProgress,
         failed: frozenset[str],
-    ) -> abc.AsyncIterator[bytes]:
+    ) -> ResumedStream:
         """Return the remaining stream from another engine."""
         resumed = dataclasses.replace(
             call,
@@ -110,9 +130,8 @@
             tokens=len(progress.tokens),
         )
         match await self.send(resumed, failed, progress.weight_version):
-            case result.Success(http.HttpResponse(status=200, body=body)):
-                if not isinstance(body, bytes):
-                    return body
+            case result.Success(ResumedStream() as stream):
+                return stream
         raise http_client.TruncatedResponseError(
             "no other engine could resume the completion stream"
         )
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -71,9 +71,11 @@
     async def start(self) -> None:
         """Start following the store and open the listeners."""
         settings = self.settings
-        if settings.listen is None or settings.ready_listen is None:
+        if settings.listen is None:
+            raise errors.FieldError("--listen", "required with --duty=entry")
+        if settings.ready_listen is None:
             raise errors.FieldError(
-                "--listen", "required with --duty=entry, as is --ready-listen"
+                "--ready-listen", "required with --duty=entry"
             )
         self.start_feed()
         await self.start_relay()
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/lot_scheduler.py
@@ -129,8 +129,10 @@
         checkpoints came from the previous leader, those in the store are
         still read, so that they are deleted later.
         """
-        self.operator_view.listeners.append(self.wake)
-        self.sampler_view.listeners.append(self.wake)
+        if self.is_stopped:
+            return
+        for listeners in self._listeners():
+            listeners.append(self.wake)
         self.lots_view.listener = self
         for record in list(self.lots_view.records.values()):
             self.on_lot(record, False)
@@ -139,6 +141,8 @@
             self.task_set.spawn(self.checkpoint_store.read())
         else:
             self.planner.restore(await self.checkpoint_store.read())
+        if self.is_stopped:
+            return
         self.has_restored = True
         self.task_set.spawn(self._tick())
         self.task_set.spawn(self.checkpoint_store.run())
@@ -146,11 +150,16 @@
         self.wake()
 
     async def stop(self) -> None:
-        """Cancel all runs and calls; nothing new is started after this."""
-        self.is_stopped = True
-        self.lots_view.listener = None
-        self.operator_view.listeners.remove(self.wake)
-        self.sampler_view.listeners.remove(self.wake)
+        """Cancel all runs and calls; nothing new is started after this.
+
+        It may be called more than once, and before `start`.
+        """
+        if not self.is_stopped:
+            self.is_stopped = True
+            self.lots_view.listener = None
+            for listeners in self._listeners():
+                if self.wake in listeners:
+                    listeners.remove(self.wake)
         await self.task_set.cancel_all()
 
     def on_lot(self, record: state.LotRecord, is_new: bool) -> None:
@@ -209,6 +218,9 @@
             self.is_wake_scheduled = True
             asyncio.get_running_loop().call_soon(self._decide)
 
+    def _listeners(self) -> tuple[list[abc.Callable[[], None]], ...]:
+        return self.operator_view.listeners, self.sampler_view.listeners
+
     def _decide(self) -> None:
         """Plan new lots, send orders for weights and start items."""
         self.is_wake_scheduled = False
--- a/poplarloft/daemon/serving/lot_service.py
+++ b/poplarloft/daemon/serving/lot_service.py
@@ -289,10 +289,13 @@
                 try:
                     record = lot_records.decode_record(value)
                 except errors.FieldError as error:
+                    # Another attempt would read the same record.
                     return result.Failure(
-                        _not_ready_refusal(
+                        state.Refusal(
+                            state.Reason.UPSTREAM_FAILED,
+                            state.Verdict.MAY_HAVE_RUN,
                             f"cannot decode the record of lot {lot_id!r}: "
-                            f"{error}"
+                            f"{error}",
                         )
                     )
                 entry = self.cached_lots.setdefault(lot_id, _CachedLot())
--- a/poplarloft/daemon/tests/test_keys.py
+++ b/poplarloft/daemon/tests/test_keys.py
@@ -72,6 +72,9 @@
     with pytest.raises(errors.FieldError) as caught:
         keys.parse_key_pair(text[:-5])
     assert secret.decode()[:10] not in str(caught.value)
+    with pytest.raises(errors.FieldError, match="line 1") as caught:
+        keys.parse_key_pair(secret.decode())
+    assert secret.decode()[:10] not in str(caught.value)
 
 
 def test_allow_list_names_the_malformed_line():
--- a/poplarloft/protocol/keys.py
+++ b/poplarloft/protocol/keys.py
@@ -18,6 +18,7 @@
     "parse_key_pair",
 ]
 
+KEY_KINDS = ("public", "secret")
 # Z85 encodes the 32 bytes of a CURVE key as 40 characters.
 KEY_CHARS = 40
 MIN_FIELDS, MAX_FIELDS = 2, 3
@@ -60,10 +61,14 @@
         If a key is missing or malformed. The message leaves out the key.
     """
     keys: dict[str, bytes] = {}
-    for line in text.splitlines():
+    for number, line in enumerate(text.splitlines(), 1):
         kind, _, key = line.partition(" ")
+        if kind not in KEY_KINDS:
+            raise errors.FieldError(
+                f"line {number}", f"expected one of {KEY_KINDS} and a key"
+            )
         keys[kind] = _parse_key(kind, key)
-    for kind in ("public", "secret"):
+    for kind in KEY_KINDS:
         if kind not in keys:
             raise errors.FieldError(kind, "is missing from the key file")
     return KeyPair(keys["public"], keys["secret"])
--- a/poplarloft/state/revisions.py
+++ b/poplarloft/state/revisions.py
@@ -155,13 +155,6 @@
     current: tuple[Entry, ...] = ()
     detail: str = ""
 
-    def conflicting_entry(self, key: str) -> Entry | None:
-        """Return the current entry of `key` after a conflict, if any."""
-        for entry in self.current:
-            if entry.key == key and entry.revision != ABSENT:
-                return entry
-        return None
-
 
 class RevisionStore(typing.Protocol):
     """A linearizable key-value store."""
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -143,7 +143,7 @@
 
 def _accept_all(listener: socket.socket) -> list[socket.socket]:
     """Return all connections that wait to be accepted."""
-    connections = []
+    connections: list[socket.socket] = []
     while True:
         try:
             connection, _ = listener.accept()
--- a/poplarloft/transport/tests/test_peers.py
+++ b/poplarloft/transport/tests/test_peers.py
@@ -19,8 +19,9 @@
     sender = peers.PeerSockets(received.append)
     sender.send(address, b"connects")
     async with asyncio.timeout(10):
-        while not receiver.receiver.poll(100):
+        while not receiver.receiver.poll(0):
             sender.send(address, b"connects")
+            await asyncio.sleep(0.005)
     yield sender, receiver, address, received
     sender.close()
     receiver.close()
--- a/tests/test_serving_lots.py
+++ b/tests/test_serving_lots.py
@@ -177,3 +177,31 @@
     )
     assert status == 400
     assert b"lot" in response or b"items" in response
+
+
+async def test_undecodable_record_is_no_reason_to_come_back(fleet):
+    await fleet.start()
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(1)) == 202
+    await fleet.store.put("lots/lot-a", b"damaged")
+    fleet.entries[0].lot_service.cached_lots.clear()
+    status, headers, body = await fleet.call(
+        "GET", "/poplarloft/items/lot-a?id=item-0"
+    )
+    assert status == 502
+    assert b"cannot decode" in body
+    assert "retry-after" not in headers
+
+
+async def test_scheduler_stops_twice_and_before_its_start(fleet):
+    """A bulk daemon stops it on SIGTERM, and its election once more."""
+    await fleet.start()
+    daemon = fleet.bulks[0]
+    await serving_fleet.eventually(lambda: daemon.election.scheduler)
+    scheduler = daemon.election.scheduler
+    await scheduler.stop()
+    await scheduler.stop()
+    unstarted = daemon._make_scheduler(1)
+    await unstarted.stop()
+    await unstarted.start()
+    assert unstarted.wake not in daemon.views.operator.listeners
+    assert not unstarted.task_set.tasks
