Keep orders of two leaders apart where engines don't

Change: the right to send orders is a lock apart from leadership. Where engines check tokens nothing changes.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -13,6 +13,11 @@
 from poplarloft.coordination.serving.failover import FailoverDetector
 from poplarloft.coordination.serving.feeds import FeedReader
 from poplarloft.coordination.serving.leader_location import LeaderLocation
+from poplarloft.coordination.serving.order_lock import OrderLock
+from poplarloft.coordination.serving.order_lock import OrderRules
+from poplarloft.coordination.serving.order_lock import ReadHolder
+from poplarloft.coordination.serving.order_lock import RevokeLease
+from poplarloft.coordination.serving.order_lock import WriteHolder
 from poplarloft.coordination.serving.outputs import EventOrderError
 from poplarloft.coordination.serving.outputs import ItemOutput
 from poplarloft.coordination.serving.outputs import Stage
@@ -43,13 +48,18 @@
     "LeastExpectedTime",
     "LoadVersion",
     "LotPlan",
+    "OrderLock",
+    "OrderRules",
     "Planner",
     "PrefixHistory",
     "ReadBatch",
+    "ReadHolder",
     "ResultLog",
+    "RevokeLease",
     "SamplerRegistry",
     "Stage",
     "StartItem",
     "WeightLoadPlanner",
     "WriteBatch",
+    "WriteHolder",
 ]
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -52,6 +52,13 @@
         self.views.operator.listeners.append(self._confirm_retirements)
         self.peers.on(state.LotAccepted, self._on_lot_accepted)
         self.peers.on(state.LotEnded, self._on_lot_ended)
+        self.orders = serving.OrderLock(
+            state.BootClock(),
+            settings.name,
+            serving.OrderRules(
+                settings.engines_check_fence, settings.order_turn_ms
+            ),
+        )
         self.election: leader_election.LeaderElection | None = None
         self.confirmed_retirements: set[str] = set()
 
@@ -72,6 +79,7 @@
             self.standby_link,
             self._make_scheduler,
             self.feed.set_single_source,
+            self.orders,
         )
         self.feed.start(self.task_set)
         self.views.start(self.store, self.task_set, self.feed)
@@ -108,6 +116,7 @@
             self.is_near,
             int(self.settings.lot_kept_s * MS_PER_S),
             self.views,
+            self.orders,
             checkpoints,
         )
 
--- a/poplarloft/daemon/serving/leader_election.py
+++ b/poplarloft/daemon/serving/leader_election.py
@@ -9,6 +9,7 @@
 
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import leader_key
+from poplarloft.daemon.serving import order_lock
 from poplarloft.daemon.serving import standby
 from poplarloft.protocol import serving_messages
 from poplarloft import state
@@ -16,6 +17,7 @@
 __all__ = ["LeaderElection", "Scheduler"]
 
 RENEW_INTERVAL_MS = 700
+ORDER_RENEW_INTERVAL_MS = 400  # orders need a recent renewal
 RETRY_MS = 250
 EARLY_START_DELAY_MS = 300  # an available store has answered by then
 SILENCE_CHECK_INTERVAL_MS = 100
@@ -81,6 +83,9 @@
         Returns the scheduler for a fencing token, 0 for an early start.
     on_leader : callable
         Called with the record of the leader, None if this daemon leads.
+    orders : serving.OrderLock
+        Tells the scheduler when orders may be sent. Its clock, and that of
+        the lease, must advance while the instance is suspended.
     """
 
     def __init__(
@@ -91,6 +96,7 @@
         link: standby.StandbyLink,
         make_scheduler: abc.Callable[[int], Scheduler],
         on_leader: abc.Callable[[state.LeaderRecord | None], None],
+        orders: serving.OrderLock,
     ) -> None:
         self.clock = clock
         self.store = store
@@ -99,7 +105,9 @@
         self.failover = link.failover
         self.make_scheduler = make_scheduler
         self.on_leader = on_leader
-        self.key = leader_key.LeaderKey(clock, store, own_record)
+        self.orders = orders
+        self.order_keeper = order_lock.OrderLockKeeper(store, orders)
+        self.key = leader_key.LeaderKey(orders.clock, store, own_record)
         self.last_snapshot: leader_key.KeySnapshot | None = None
         self.reported_silent: state.LeaderRecord | None = None
         self.scheduler: Scheduler | None = None
@@ -122,16 +130,19 @@
             try:
                 await self._lead(scheduler, leadership)
             finally:
+                self.orders.end()
                 await scheduler.stop()
                 self.scheduler = None
             eliot.log_message("duty-lost", fence=scheduler.fence)
 
     async def resign(self) -> None:
-        """Revoke the lease, so that another daemon leads at once.
+        """Release the order lock and the key; another daemon leads at once.
 
-        This daemon does not acquire leadership again.
+        The scheduler must have stopped. This daemon does not acquire
+        leadership again.
         """
         self.may_lead = False
+        await self.order_keeper.release()
         await self.key.release()
 
     async def _lead(
@@ -164,8 +175,10 @@
             scheduler, leadership
         ):
             return
+        self.order_keeper.begin(self.key.lease, self.key.renewed_at_ms)
         tasks = {
             asyncio.ensure_future(self._renew(scheduler)),
+            asyncio.ensure_future(self.order_keeper.run()),
             asyncio.ensure_future(self._await_replacement(scheduler.fence)),
         }
         try:
@@ -320,16 +333,22 @@
         If the lease has expired, the key is acquired again. Orders stop
         while the lease may have expired.
         """
+        interval_ms = RENEW_INTERVAL_MS
+        if not self.orders.rules.engines_check_fence:
+            interval_ms = ORDER_RENEW_INTERVAL_MS
         while self.may_lead:
-            await asyncio.sleep(RENEW_INTERVAL_MS / MS_PER_S)
+            await asyncio.sleep(interval_ms / MS_PER_S)
             failed = await self.key.renew()
             if failed is None:
+                self.orders.on_renewed(self.key.renewed_at_ms)
                 scheduler.may_send_orders = True
             elif failed is FailureKind.LEASE_GONE:
                 scheduler.may_send_orders = False
+                self.orders.end()
                 if not await self._acquire(
                     scheduler, _Leadership(0, state.ABSENT)
                 ):
                     return
+                self.order_keeper.begin(self.key.lease, self.key.renewed_at_ms)
             elif self.key.may_have_expired:
                 scheduler.may_send_orders = False
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/lot_scheduler.py
@@ -56,6 +56,8 @@
         Time for which a lot can be read after its end.
     views : store_views.StoreViews
         Views of the store: configuration, upstreams and open lots.
+    orders : serving.OrderLock
+        Whether orders may be sent to engines at the moment.
     checkpoints : serving.CheckpointCollector or None
         Checkpoints received from the previous leader. If None, they are
         read from the store.
@@ -73,6 +75,7 @@
         is_near: abc.Callable[[str], bool],
         retention_ms: int,
         views: store_views.StoreViews,
+        orders: serving.OrderLock,
         checkpoints: serving.CheckpointCollector | None = None,
     ) -> None:
         self.clock = clock
@@ -80,6 +83,7 @@
         self.store = store
         self.fence = fence
         self.may_send_orders = fence > 0
+        self.orders = orders
         self.task_set = tasks.TaskSet()
         self.operator_view = views.operator
         self.sampler_view = views.samplers
@@ -162,6 +166,10 @@
                     listeners.remove(self.wake)
         await self.task_set.cancel_all()
 
+    def order_time_ms(self) -> int:
+        """Return for how long orders may still reach engines, 0 if not."""
+        return self.orders.remaining_ms() if self.may_send_orders else 0
+
     def on_lot(self, record: state.LotRecord, is_new: bool) -> None:
         """Read the result log of a lot, then plan it; ignore an ended lot."""
         if record.lot.id not in self.ended_lots:
--- a/poplarloft/daemon/serving/weights.py
+++ b/poplarloft/daemon/serving/weights.py
@@ -14,6 +14,7 @@
 __all__ = ["WeightUpdater"]
 
 POLL_INTERVAL_MS = 150
+MIN_ORDER_MS = 200  # a new connection and the order itself
 FIRST_POLL_DELAY_MS = 1_000  # for the load, and the delay of reports
 LOAD_TIMEOUT_MS = 6_000
 MS_PER_S = 1_000
@@ -25,6 +26,9 @@
     fence: int
     may_send_orders: bool
 
+    def order_time_ms(self) -> int:
+        """Return for how long orders may still reach engines, 0 if not."""
+
 
 class WeightUpdater:
     """Sends engines the load orders that the load planner decides on.
@@ -42,7 +46,7 @@
     name : str
         This daemon's name, sent with each order.
     leadership : _Leadership
-        Whether orders may be sent, and with which fencing token.
+        Whether orders may be sent, how long, and with which fencing token.
         `may_send_orders` is cleared when an engine answers that it has
         seen a newer token.
     wake : callable
@@ -72,7 +76,7 @@
 
     def send_orders(self) -> None:
         """Start sending the orders that are due, if this daemon may."""
-        if not self.leadership.may_send_orders:
+        if self.leadership.order_time_ms() < MIN_ORDER_MS:
             return
         usable = {
             engine_id: view
@@ -119,13 +123,22 @@
             await self._fetch_report(view)
         if engine_id not in self.orders_accepted:
             return False
-        answer = await self.client.order_version(
-            sampler,
-            target,
-            self.name,
-            self.leadership.fence,
-            self.orders_accepted[engine_id],
-        )
+        order_time_ms = self.leadership.order_time_ms()
+        if order_time_ms < MIN_ORDER_MS:
+            return False
+        try:
+            async with asyncio.timeout(order_time_ms / MS_PER_S):
+                answer = await self.client.order_version(
+                    sampler,
+                    target,
+                    self.name,
+                    self.leadership.fence,
+                    self.orders_accepted[engine_id],
+                )
+        except TimeoutError:
+            # The connection is closed, so the order can't arrive later.
+            self.orders_accepted.pop(engine_id, None)
+            return False
         if answer.status == samplers.ACCEPTED:
             self.orders_accepted[engine_id] += 1
             await asyncio.sleep(FIRST_POLL_DELAY_MS / MS_PER_S)
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -14,6 +14,7 @@
     "LEADER_KEY",
     "LOTS_PREFIX",
     "MEMBERS_PREFIX",
+    "ORDER_LOCK_KEY",
     "batch_key",
     "batches_prefix",
     "check_lot_id",
@@ -39,6 +40,7 @@
 # The keys say "runner" and "texts": they hold the leader's record and the
 # output checkpoints.
 LEADER_KEY = "cells/0/runner"
+ORDER_LOCK_KEY = "cells/0/orders"
 CHECKPOINTS_PREFIX = "texts/"
 MEMBERS_PREFIX = "members/"
 ENDED_PREFIX = "ended/"
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -11,9 +11,11 @@
     "decode_leader",
     "decode_member",
     "decode_message",
+    "decode_order_holder",
     "encode_leader",
     "encode_member",
     "encode_message",
+    "encode_order_holder",
 ]
 
 # A message is encoded with the index of its type in this list, so the
@@ -36,6 +38,7 @@
 ]
 _MEMBER = msgspec.msgpack.Decoder(state.PeerRecord)
 _LEADER = msgspec.msgpack.Decoder(state.LeaderRecord)
+_ORDER_HOLDER = msgspec.msgpack.Decoder(state.OrderHolder)
 T = typing.TypeVar("T")
 
 
@@ -64,6 +67,16 @@
     return _decode(_LEADER, value, "leader")
 
 
+def encode_order_holder(holder: state.OrderHolder) -> bytes:
+    """Return the encoded value of the order lock's key."""
+    return msgspec.msgpack.encode(holder)
+
+
+def decode_order_holder(value: bytes) -> state.OrderHolder:
+    """Return the order lock's holder; raises `FieldError` if malformed."""
+    return _decode(_ORDER_HOLDER, value, "order holder")
+
+
 def encode_member(member: state.PeerRecord) -> bytes:
     """Return the encoded value of a daemon's member key."""
     return msgspec.msgpack.encode(member)
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -87,6 +87,17 @@
         le=600_000,
         description="Longest time to put a new configuration in force, in ms",
     )
+    engines_check_fence: bool = pydantic.Field(
+        default=True,
+        description="Whether engines reject orders with an old fencing token",
+    )
+    order_turn_ms: int = pydantic.Field(
+        default=3_000,
+        ge=0,
+        le=600_000,
+        description="Shortest time between orders of two daemons to an "
+        "engine that checks no fencing token, in ms",
+    )
     lot_kept_s: float = pydantic.Field(
         default=120.0,
         gt=0,
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -4,6 +4,7 @@
 from poplarloft.state.claims import ClaimKey
 from poplarloft.state.claims import Ledger
 from poplarloft.state.claims import LedgerId
+from poplarloft.state.clock import BootClock
 from poplarloft.state.clock import Clock
 from poplarloft.state.clock import ManualClock
 from poplarloft.state.clock import MonotonicClock
@@ -87,6 +88,7 @@
 from poplarloft.state.standby import LeaderRecord
 from poplarloft.state.standby import LotAccepted
 from poplarloft.state.standby import LotEnded
+from poplarloft.state.standby import OrderHolder
 from poplarloft.state.standby import Ping
 from poplarloft.state.standby import Pong
 from poplarloft.state.standby import Subscribe
@@ -107,6 +109,7 @@
     "ABSENT_VERSION",
     "Address",
     "Body",
+    "BootClock",
     "Change",
     "Changes",
     "CheckpointBatch",
@@ -158,6 +161,7 @@
     "Metrics",
     "MonotonicClock",
     "OwnerBody",
+    "OrderHolder",
     "Page",
     "PathRoute",
     "PeerRecord",
--- a/poplarloft/state/clock.py
+++ b/poplarloft/state/clock.py
@@ -3,7 +3,7 @@
 import time
 import typing
 
-__all__ = ["Clock", "ManualClock", "MonotonicClock", "WallClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "MonotonicClock", "WallClock"]
 
 NANOSECONDS_PER_MS = 1_000_000
 
@@ -23,6 +23,18 @@
         return time.monotonic_ns() // NANOSECONDS_PER_MS
 
 
+class BootClock:
+    """Monotonic time that also advances while the machine is suspended.
+
+    For leases, which expire elsewhere meanwhile.
+    """
+
+    def now_ms(self) -> int:
+        """Return milliseconds since the machine's start."""
+        now_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return now_ns // NANOSECONDS_PER_MS
+
+
 class WallClock:
     """Time since the Unix epoch, for values that instances compare."""
 
--- a/poplarloft/state/standby.py
+++ b/poplarloft/state/standby.py
@@ -16,6 +16,7 @@
     "LeaderRecord",
     "LotAccepted",
     "LotEnded",
+    "OrderHolder",
     "Ping",
     "Pong",
     "Subscribe",
@@ -41,6 +42,25 @@
     address: identity.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderHolder:
+    """The daemon that may send orders to engines.
+
+    Parameters
+    ----------
+    name : str
+        Name of the daemon.
+    lease : int
+        Lease in the store that the daemon must keep renewing.
+    is_released : bool
+        Whether the daemon has stopped sending orders for good.
+    """
+
+    name: str
+    lease: int
+    is_released: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscribe:
     """Subscription to the leader's heartbeats, which expires unless renewed.
