--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -41,6 +41,10 @@
         Number of next requests that get status 500.
     silent : bool
         Whether requests run without ever getting a response.
+    checks_fence : bool
+        Whether orders with an older fencing token are refused.
+    order_times : list of float
+        Monotonic time at which each order was accepted, in seconds.
     """
 
     def __init__(
@@ -57,6 +61,8 @@
         self.resumed: list[tuple[str, int]] = []
         self.versions = {"m": 1}
         self.orders: list[dict[str, object]] = []
+        self.order_times: list[float] = []
+        self.checks_fence = True
         self.fence = 0
         self.breaks_after: int | None = None
         self.failing = 0
@@ -179,12 +185,13 @@
         )
 
     def _order(self, order: dict[str, typing.Any]) -> http.HttpResponse:
-        if order["fence"] < self.fence:
+        if self.checks_fence and order["fence"] < self.fence:
             return http.HttpResponse(412)
         if order.get("expected", len(self.orders)) != len(self.orders):
             return http.HttpResponse(409)
         self.fence = order["fence"]
         self.orders.append(order)
+        self.order_times.append(time.monotonic())
         self.versions[order["model"]] = order["version"]
         return http.HttpResponse(202)
 
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -111,7 +111,8 @@
     """A store, two engines, two services and any number of daemons.
 
     With `uses_change_feed`, entry daemons read store changes from each
-    other; it must be set before `start`.
+    other. With `order_turn_ms`, engines check no fencing tokens. Both must
+    be set before `start`.
     """
 
     def __init__(self):
@@ -123,6 +124,7 @@
         self.client = http_client.HttpClient()
         self.uses_change_feed = False
         self.change_bound_ms = CHANGE_BOUND_MS
+        self.order_turn_ms = None
 
     async def start(self, entries=1, bulks=1):
         """Start stand-ins and daemons; return when entry daemons are ready."""
@@ -251,6 +253,11 @@
             ]
         if role == "bulk" or self.uses_change_feed:
             arguments.append("--peer-listen=127.0.0.1:0")
+        if self.order_turn_ms is not None:
+            arguments += [
+                "--engines-check-fence=false",
+                f"--order-turn-ms={self.order_turn_ms}",
+            ]
         if self.uses_change_feed:
             arguments += [
                 f"--leaving-bound-ms={self.change_bound_ms}",
--- /dev/null
+++ b/tests/test_serving_orders.py
@@ -0,0 +1,111 @@
+"""Orders of a leader and its successor to engines that check no fences."""
+
+import itertools
+
+import pytest
+
+from poplarloft.coordination.serving import order_lock
+from tests import serving_fleet
+
+TURN_MS = 1_000
+MS_PER_S = 1_000
+
+
+@pytest.fixture
+async def fleet():
+    made = serving_fleet.Fleet()
+    made.order_turn_ms = TURN_MS
+    for engine in made.engines:
+        engine.checks_fence = False
+    await made.start(bulks=3)
+    yield made
+    await made.stop()
+
+
+async def name_version(fleet, version):
+    value = b'{"model":"m","version":%d}' % version
+    await fleet.store.put("op/version/m", value)
+
+
+async def leader_of(fleet):
+    def leaders():
+        return [
+            daemon
+            for daemon in fleet.bulks
+            if daemon.election.scheduler and daemon.orders.is_held
+        ]
+
+    await serving_fleet.eventually(leaders)
+    return leaders()[0]
+
+
+def check_turns(engine):
+    """Check that fences never fall and that daemons keep their distance."""
+    rows = list(zip(engine.orders, engine.order_times, strict=True))
+    for (first, first_s), (second, second_s) in itertools.pairwise(rows):
+        if first["holder"] != second["holder"]:
+            assert first["fence"] < second["fence"]
+            assert second_s - first_s >= TURN_MS / MS_PER_S
+
+
+async def test_leader_that_lost_the_store_and_its_successor_take_no_turns(
+    fleet,
+):
+    leader = await leader_of(fleet)
+    await serving_fleet.eventually(
+        lambda: len(leader.standby_link.receivers) == 2
+    )
+    leader.store.direct.address = fleet.store.refusing_address
+    leader.store.update_peers({})
+    leader.peers.send = lambda address, message: None
+    others = [daemon for daemon in fleet.bulks if daemon is not leader]
+    await name_version(fleet, 2)
+    leader.views.operator.targets.update(others[0].views.operator.targets)
+    leader.election.scheduler.wake()
+    await serving_fleet.eventually(
+        lambda: any(daemon.election.scheduler for daemon in others)
+    )
+    await serving_fleet.eventually(
+        lambda: any(daemon.orders.is_held for daemon in others)
+    )
+    await name_version(fleet, 3)
+    await serving_fleet.eventually(
+        lambda: all(engine.versions["m"] == 3 for engine in fleet.engines)
+    )
+    holders = {order["holder"] for e in fleet.engines for order in e.orders}
+    assert holders - {leader.settings.name}
+    for engine in fleet.engines:
+        check_turns(engine)
+
+
+async def test_successor_of_a_killed_leader_waits_before_its_first_order(
+    fleet,
+):
+    leader = await leader_of(fleet)
+    await name_version(fleet, 2)
+    await serving_fleet.eventually(
+        lambda: all(engine.versions["m"] == 2 for engine in fleet.engines)
+    )
+    await fleet.kill(leader)
+    await name_version(fleet, 3)
+    await serving_fleet.eventually(
+        lambda: all(engine.versions["m"] == 3 for engine in fleet.engines)
+    )
+    for engine in fleet.engines:
+        check_turns(engine)
+        first_s, last_s = engine.order_times[0], engine.order_times[-1]
+        wait_ms = order_lock.VALID_MS + TURN_MS
+        assert last_s - first_s >= wait_ms / MS_PER_S
+
+
+async def test_leader_that_stops_hands_the_lock_over(fleet):
+    leader = await leader_of(fleet)
+    await leader.stop()
+    fleet.bulks.remove(leader)
+    successor = await leader_of(fleet)
+    assert successor.orders.holder.name == leader.settings.name
+    assert successor.orders.holder.is_released
+    await name_version(fleet, 2)
+    await serving_fleet.eventually(
+        lambda: all(engine.versions["m"] == 2 for engine in fleet.engines)
+    )
