Answer failing handlers, refuse ambiguous bodies

Cause: a handler that raised closed its connection without an answer, and the error was told only when the task was collected; a request with a length and a transfer encoding was served and what followed taken for another request; HTTP/2 prefaces were served. Change: 500 with the verdict that it may have run, and a log line; 400 and 505.

--- a/poplarloft/protocol/http.py
+++ b/poplarloft/protocol/http.py
@@ -193,6 +193,7 @@
     state.Reason.CLAIM_HELD: 409,
     state.Reason.CLAIM_EXPIRED: 409,
     state.Reason.CONFLICT: 409,
+    state.Reason.INTERNAL_ERROR: 500,
     state.Reason.QUARANTINED: 422,
     state.Reason.OVERLOADED: 503,
     state.Reason.UPSTREAM_FAILED: 502,
--- a/poplarloft/state/verdict.py
+++ b/poplarloft/state/verdict.py
@@ -38,6 +38,7 @@
     STALE_FENCE = "stale-fence"
     NOT_READY = "not-ready"
     CONFLICT = "conflict"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -8,6 +8,7 @@
 
 from poplarloft import state
 from poplarloft.transport import http_session
+from poplarloft.transport import request_reader
 from poplarloft.transport import server_limits
 
 __all__ = ["Handler", "HttpServer", "ServerLimits"]
@@ -17,7 +18,7 @@
 ATTACH_STEPS = 2  # iterations of the event loop
 MS_PER_S = 1_000
 Handler = http_session.Handler
-BodyLimit = http_session.BodyLimit
+BodyLimit = request_reader.BodyLimit
 ServerLimits = server_limits.ServerLimits
 
 
@@ -48,7 +49,7 @@
         body_limit: BodyLimit,
         tls: ssl.SSLContext | None = None,
         cancel_on_disconnect: bool = False,
-        may_stream: http_session.PathPredicate = lambda path: False,
+        may_stream: request_reader.PathPredicate = lambda path: False,
     ) -> None:
         self.handler = handler
         self.limits = limits
--- a/poplarloft/transport/server_limits.py
+++ b/poplarloft/transport/server_limits.py
@@ -9,6 +9,7 @@
 __all__ = [
     "RequestRefusedError",
     "ServerLimits",
+    "bad_request",
     "malformed",
     "too_large",
     "too_slow",
@@ -76,7 +77,11 @@
 def malformed(error: h11.RemoteProtocolError) -> RequestRefusedError:
     """Return the error for bytes that are not a valid request."""
     status = int(error.error_status_hint)
-    detail = f"malformed request: {error}"
+    return bad_request(status, f"malformed request: {error}")
+
+
+def bad_request(status: int, detail: str) -> RequestRefusedError:
+    """Return the error for a request that cannot be served."""
     return RequestRefusedError(
         _refusal(state.Reason.BAD_REQUEST, detail), status
     )
--- a/poplarloft/transport/tests/test_http.py
+++ b/poplarloft/transport/tests/test_http.py
@@ -151,3 +151,64 @@
             )
         sock.close()
     assert await draining == 0
+
+
+async def exchange(address, request):
+    """Send raw bytes; return all that the server sends until it closes."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(request)
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    return received
+
+
+async def test_failing_handler_is_answered_and_reported():
+    async def fail(request):
+        raise KeyError("unexpected")
+
+    failures = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: failures.append(context)
+    )
+    server, address = await serve(fail)
+    client = http_client.HttpClient()
+    for _ in range(2):
+        sent = await client.send(address, "GET", "/orders/7")
+        response = sent.unwrap()
+        assert response.status == 500
+        assert response.headers["poplarloft-verdict"] == "may-have-run"
+        await response.read(MAX_BODY_BYTES)
+    assert len(server.sessions) == 1
+    assert "GET /orders/7" in failures[0]["message"]
+    assert isinstance(failures[0]["exception"], KeyError)
+    client.close()
+    await server.drain(0)
+
+
+async def test_body_with_length_and_encoding_is_refused_unserved():
+    """Otherwise what follows the length could pass as a second request."""
+    served = []
+
+    async def record(request):
+        served.append(request.path)
+        return http.HttpResponse(200)
+
+    server, address = await serve(record)
+    received = await exchange(
+        address,
+        b"POST /first HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n"
+        b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+        b"GET /second HTTP/1.1\r\nhost: h\r\n\r\n",
+    )
+    assert received.startswith(b"HTTP/1.1 400")
+    assert received.count(b"HTTP/1.1") == 1
+    assert served == []
+    await server.drain(0)
+
+
+async def test_other_http_versions_are_refused():
+    server, address = await serve(respond_ok)
+    received = await exchange(address, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 505")
+    await server.drain(0)
