--- a/benchmarks/serving_mutants.py
+++ b/benchmarks/serving_mutants.py
@@ -88,7 +88,7 @@
     ),
     mutant.Mutant(
         "failed engine tried by each item",
-        f"{DECISIONS}/planning.py",
+        f"{DECISIONS}/engine_view.py",
         "if self.losses and self.running:",
         "if False:",
         f"{DECISIONS}/tests/test_planning.py",
@@ -100,4 +100,25 @@
         "if False:",
         "tests/test_serving_failover.py",
     ),
+    mutant.Mutant(
+        "orders sent before the previous leader's time has passed",
+        f"{DECISIONS}/order_lock.py",
+        "wait_ms = VALID_MS + ARRIVAL_MS + self.rules.turn_ms",
+        "wait_ms = ARRIVAL_MS + self.rules.turn_ms",
+        f"{DECISIONS}/tests/test_order_lock.py",
+    ),
+    mutant.Mutant(
+        "lease of the previous leader not revoked",
+        f"{DECISIONS}/order_lock.py",
+        "return RevokeLease(self.holder.lease)",
+        "return RevokeLease(-1)",
+        f"{DECISIONS}/tests/test_order_lock.py",
+    ),
+    mutant.Mutant(
+        "order lock taken from a holder that has not released it",
+        f"{DECISIONS}/order_lock.py",
+        "if holder is None or holder.is_released:",
+        "if holder is None or holder.name:",
+        "tests/test_serving_orders.py",
+    ),
 )
--- a/poplarloft/coordination/claims.py
+++ b/poplarloft/coordination/claims.py
@@ -11,12 +11,11 @@
 """
 
 from collections import abc
-import dataclasses
-import enum
 
 import xxhash
 
 from poplarloft.coordination import claim_actions
+from poplarloft.coordination import ledger_state
 from poplarloft.coordination import routing
 from poplarloft.coordination import token_buckets
 from poplarloft import state
@@ -24,43 +23,6 @@
 __all__ = ["ClaimTable", "ledger_writer"]
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiting:
-    key: state.ClaimKey
-    claim: state.Claim
-    deadline_ms: int
-    may_be_written: bool = False  # set when a write with it is issued
-
-
-class _Phase(enum.Enum):
-    IDLE = "idle"
-    READING = "reading"
-    WRITING = "writing"
-
-
-@dataclasses.dataclass(slots=True)
-class _LedgerState:
-    """Cached content of one ledger and the requests that wait for it.
-
-    `unconfirmed` holds attempts that timed out while their write could
-    still take effect; their claims are released if they turn up in the
-    ledger.
-    """
-
-    phase: _Phase = _Phase.IDLE
-    ledger: state.Ledger | None = None
-    version: int = state.ABSENT_VERSION
-    confirmed_at_ms: int = 0
-    retry_at_ms: int = 0
-    waiting: dict[int, _Waiting] = dataclasses.field(default_factory=dict)
-    in_flight: frozenset[int] = frozenset()
-    unconfirmed: dict[int, bytes] = dataclasses.field(default_factory=dict)
-    releases: dict[int, bytes] = dataclasses.field(default_factory=dict)
-
-    def has_work(self) -> bool:
-        return bool(self.waiting or self.releases)
-
-
 def ledger_writer(shard: int, instances: abc.Iterable[str]) -> str | None:
     """Return the instance that writes a shard's ledgers.
 
@@ -101,7 +63,7 @@
         self.call_bucket = token_buckets.TokenBucket(
             clock, settings.calls_per_s, settings.call_burst
         )
-        self.entries: dict[state.LedgerId, _LedgerState] = {}
+        self.entries: dict[state.LedgerId, ledger_state.LedgerState] = {}
 
     def ledger_id(self, key: state.ClaimKey) -> state.LedgerId:
         """Return the ledger that records claims of `key`."""
@@ -127,9 +89,13 @@
                     claim.attempt, claim_actions.ClaimDecision.EXPIRED
                 )
             ]
-        entry = self.entries.setdefault(self.ledger_id(key), _LedgerState())
+        entry = self.entries.setdefault(
+            self.ledger_id(key), ledger_state.LedgerState()
+        )
         deadline_ms = self.clock.now_ms() + timeout_ms
-        entry.waiting[claim.attempt] = _Waiting(key, claim, deadline_ms)
+        entry.waiting[claim.attempt] = ledger_state.WaitingClaim(
+            key, claim, deadline_ms
+        )
         return self._advance(self.ledger_id(key), entry)
 
     def release(
@@ -137,7 +103,7 @@
     ) -> list[claim_actions.ClaimAction]:
         """Release the claim of a request that is known not to have run."""
         ledger_id = self.ledger_id(key)
-        entry = self.entries.setdefault(ledger_id, _LedgerState())
+        entry = self.entries.setdefault(ledger_id, ledger_state.LedgerState())
         entry.releases[attempt] = key.digest
         return self._advance(ledger_id, entry)
 
@@ -175,8 +141,8 @@
             belong to another window, and its version; None if the read
             failed.
         """
-        entry = self.entries.setdefault(ledger_id, _LedgerState())
-        entry.phase = _Phase.IDLE
+        entry = self.entries.setdefault(ledger_id, ledger_state.LedgerState())
+        entry.phase = ledger_state.LedgerPhase.IDLE
         if found is None:
             entry.ledger = None
             entry.retry_at_ms = self.clock.now_ms() + self.settings.retry_ms
@@ -204,8 +170,8 @@
         earlier write of this instance whose response was lost may have
         taken effect in either case.
         """
-        entry = self.entries.setdefault(ledger_id, _LedgerState())
-        entry.phase = _Phase.IDLE
+        entry = self.entries.setdefault(ledger_id, ledger_state.LedgerState())
+        entry.phase = ledger_state.LedgerPhase.IDLE
         if write.outcome is state.WriteOutcome.APPLIED:
             entry.ledger = written
             entry.version = write.version
@@ -222,9 +188,12 @@
         return -self.settings.skew_ms <= age_ms <= self.settings.horizon_ms
 
     def _advance(
-        self, ledger_id: state.LedgerId, entry: _LedgerState
+        self, ledger_id: state.LedgerId, entry: ledger_state.LedgerState
     ) -> list[claim_actions.ClaimAction]:
-        if entry.phase is not _Phase.IDLE or not entry.has_work():
+        if (
+            entry.phase is not ledger_state.LedgerPhase.IDLE
+            or not entry.has_work()
+        ):
             return []
         now_ms = self.clock.now_ms()
         actions = self._reject_held(entry, now_ms)
@@ -234,11 +203,13 @@
         if not self.call_bucket.take():
             return actions
         if entry.ledger is None or self._needs_refresh(entry, now_ms):
-            entry.phase = _Phase.READING
+            entry.phase = ledger_state.LedgerPhase.READING
             return [*actions, claim_actions.ReadLedger(ledger_id)]
         return actions + self._write(ledger_id, entry)
 
-    def _needs_refresh(self, entry: _LedgerState, now_ms: int) -> bool:
+    def _needs_refresh(
+        self, entry: ledger_state.LedgerState, now_ms: int
+    ) -> bool:
         """Return whether an outdated cache shows a conflicting claim.
 
         Such a claim has to be confirmed by a read before it leads to a
@@ -251,7 +222,9 @@
         )
 
     def _conflicting_claim(
-        self, entry: _LedgerState, waiting: _Waiting
+        self,
+        entry: ledger_state.LedgerState,
+        waiting: ledger_state.WaitingClaim,
     ) -> state.Claim | None:
         """Return another attempt's unreleased claim on the key, if any."""
         if entry.ledger is None:
@@ -262,7 +235,7 @@
         return None if held.attempt in entry.releases else held
 
     def _reject_held(
-        self, entry: _LedgerState, now_ms: int
+        self, entry: ledger_state.LedgerState, now_ms: int
     ) -> list[claim_actions.ClaimAction]:
         if now_ms - entry.confirmed_at_ms > self.settings.max_cache_age_ms:
             return []
@@ -280,7 +253,9 @@
                 )
         return actions
 
-    def _drop_completed_releases(self, entry: _LedgerState) -> None:
+    def _drop_completed_releases(
+        self, entry: ledger_state.LedgerState
+    ) -> None:
         """Remove releases whose claims are no longer in the ledger."""
         if entry.ledger is None:
             return
@@ -290,7 +265,7 @@
                 del entry.releases[attempt]
 
     def _write(
-        self, ledger_id: state.LedgerId, entry: _LedgerState
+        self, ledger_id: state.LedgerId, entry: ledger_state.LedgerState
     ) -> list[claim_actions.ClaimAction]:
         assert entry.ledger is not None
         claims = dict(entry.ledger.claims)
@@ -301,7 +276,7 @@
         actions = self._add_waiting(entry, claims)
         if claims == entry.ledger.claims:
             return actions + self._resolve_in_flight(entry)
-        entry.phase = _Phase.WRITING
+        entry.phase = ledger_state.LedgerPhase.WRITING
         written = state.Ledger(window=ledger_id.window, claims=claims)
         return [
             *actions,
@@ -309,7 +284,7 @@
         ]
 
     def _add_waiting(
-        self, entry: _LedgerState, claims: dict[bytes, state.Claim]
+        self, entry: ledger_state.LedgerState, claims: dict[bytes, state.Claim]
     ) -> list[claim_actions.ClaimAction]:
         """Add waiting claims to `claims`, only the first for each key."""
         actions: list[claim_actions.ClaimAction] = []
@@ -340,7 +315,7 @@
         return actions
 
     def _resolve_in_flight(
-        self, entry: _LedgerState
+        self, entry: ledger_state.LedgerState
     ) -> list[claim_actions.ClaimAction]:
         """Grant claims found in the ledger; release those that timed out."""
         assert entry.ledger is not None
@@ -366,7 +341,7 @@
         return actions
 
     def _time_out_waiting(
-        self, entry: _LedgerState
+        self, entry: ledger_state.LedgerState
     ) -> list[claim_actions.ClaimAction]:
         now_ms = self.clock.now_ms()
         actions: list[claim_actions.ClaimAction] = []
@@ -403,13 +378,16 @@
         oldest_window = oldest_ms // settings.window_ms
         for ledger_id in list(self.entries):
             entry = self.entries[ledger_id]
-            idle = entry.phase is _Phase.IDLE and not entry.waiting
+            idle = (
+                entry.phase is ledger_state.LedgerPhase.IDLE
+                and not entry.waiting
+            )
             if idle and ledger_id.window < oldest_window:
                 del self.entries[ledger_id]
 
-    def _wake_times(self, entry: _LedgerState) -> list[int]:
+    def _wake_times(self, entry: ledger_state.LedgerState) -> list[int]:
         times = [w.deadline_ms for w in entry.waiting.values()]
-        if entry.phase is _Phase.IDLE and entry.has_work():
+        if entry.phase is ledger_state.LedgerPhase.IDLE and entry.has_work():
             ready_ms = max(entry.retry_at_ms, self.call_bucket.ready_at_ms())
             times.append(ready_ms)
         return times
--- a/poplarloft/coordination/membership.py
+++ b/poplarloft/coordination/membership.py
@@ -61,7 +61,7 @@
         self.health_score = 0
         self.change_count = 0
         self.round = 0
-        self.probe_order: list[str] = []
+        self.probe_order = probing.ProbeOrder(rng)
         self.relay_queues = relay_queue.RelayQueues(rng)
         self.next_probe_ms = clock.now_ms()
         self.last_tick_ms = clock.now_ms()
@@ -334,7 +334,7 @@
         self.round += 1
         self._drop_dead()
         actions: list[gossip.MembershipAction] = []
-        target = self._next_target()
+        target = self.probe_order.next_target(self._peers())
         if target is not None:
             actions.append(self._probe(target))
             if self.round % self.settings.rounds_per_digest == 0:
@@ -367,20 +367,6 @@
             target, probe.sequence, "", self._piggyback(target)
         )
 
-    def _next_target(self) -> str | None:
-        """Return the next member to probe, if there are others.
-
-        All peers are probed once in random order before any is probed again.
-        """
-        while self.probe_order:
-            name = self.probe_order.pop()
-            record = self.members.get(name)
-            if record is not None and record.is_live:
-                return name
-        self.probe_order = self._peers()
-        self.rng.shuffle(self.probe_order)
-        return self.probe_order.pop() if self.probe_order else None
-
     def _peers(self) -> list[str]:
         return [
             name
--- a/poplarloft/coordination/probing.py
+++ b/poplarloft/coordination/probing.py
@@ -1,11 +1,12 @@
-"""Probes in flight and their timeouts."""
+"""Probes in flight, their timeouts and the order of their targets."""
 
 import dataclasses
+import random
 
 from poplarloft.coordination import gossip
 from poplarloft import state
 
-__all__ = ["Probe", "ProbeTable"]
+__all__ = ["Probe", "ProbeOrder", "ProbeTable"]
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,3 +84,24 @@
         if not probe.indirect_sent:
             timeout_ms = settings.direct_timeout_ms
         return probe.sent_at_ms + timeout_ms * (1 + health_score)
+
+
+class ProbeOrder:
+    """The order in which members are probed.
+
+    All peers are probed once in random order before any is probed again.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.remaining: list[str] = []
+
+    def next_target(self, peers: list[str]) -> str | None:
+        """Return the next of the live peers, None if there are none."""
+        while self.remaining:
+            name = self.remaining.pop()
+            if name in peers:
+                return name
+        self.remaining = list(peers)
+        self.rng.shuffle(self.remaining)
+        return self.remaining.pop() if self.remaining else None
--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -10,9 +10,11 @@
 from poplarloft.coordination.serving.balancing import LeastExpectedTime
 from poplarloft.coordination.serving.checkpoints import CheckpointCollector
 from poplarloft.coordination.serving.checkpoints import CheckpointPlan
+from poplarloft.coordination.serving.engine_view import EngineView
 from poplarloft.coordination.serving.failover import FailoverDetector
 from poplarloft.coordination.serving.feeds import FeedReader
 from poplarloft.coordination.serving.leader_location import LeaderLocation
+from poplarloft.coordination.serving.lot_plan import LotPlan
 from poplarloft.coordination.serving.order_lock import OrderLock
 from poplarloft.coordination.serving.order_lock import OrderRules
 from poplarloft.coordination.serving.order_lock import ReadHolder
@@ -21,8 +23,6 @@
 from poplarloft.coordination.serving.outputs import EventOrderError
 from poplarloft.coordination.serving.outputs import ItemOutput
 from poplarloft.coordination.serving.outputs import Stage
-from poplarloft.coordination.serving.planning import EngineView
-from poplarloft.coordination.serving.planning import LotPlan
 from poplarloft.coordination.serving.planning import Planner
 from poplarloft.coordination.serving.planning import StartItem
 from poplarloft.coordination.serving.prefix_history import PrefixHistory
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -5,24 +5,18 @@
 import itertools
 
 from poplarloft.coordination.serving import checkpoints
+from poplarloft.coordination.serving import engine_view
+from poplarloft.coordination.serving import lot_plan
 from poplarloft.coordination.serving import outputs
 from poplarloft import state
 
-__all__ = ["EngineView", "LotPlan", "Planner", "StartItem"]
+__all__ = ["Planner", "StartItem"]
 
-INITIAL_EVENT_INTERVAL_MS = 50.0
-INTERVAL_SMOOTHING = 0.1
 STEP_TARGET_MS = 4_000
-FAILED_ENGINE_MS = 2_000
-INITIAL_BACKOFF_MS = 500
-MAX_BACKOFF_MS = 4_000
-LOSS_GROUPING_MS = 300
-DUE_MARGIN_MS = 1_500
 # A move costs a prefill, the wait for a slot and two network trips.
 MIN_MOVE_GAIN_MS = 1_000.0
 MOVE_INTERVAL_RATIO = 0.9
 OTHER_REGION_COST_MS = 60.0
-EngineId = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,124 +32,6 @@
     run_id: int
 
 
-@dataclasses.dataclass(slots=True)
-class EngineView:
-    """What the leader knows of one incarnation of an engine.
-
-    Parameters
-    ----------
-    sampler : state.Sampler
-        Its newest announcement.
-    versions : dict of str to int
-        Weight version of each model, as last reported.
-    loading : set of str
-        Models whose weights it is loading; none of their items start here.
-    running : set of int
-        Ids of the runs on it.
-    event_interval_ms : float
-        Smoothed time between two events of an output.
-    has_interval : bool
-        Whether that time has been measured.
-    failed_at_ms : int
-        Time at which it last failed a run.
-    losses : int
-        Number of lost connections since it last sent events.
-    last_loss_at_ms : int
-        Time of the last one counted.
-    backoff_until_ms : int
-        Time before which no item is started here.
-    """
-
-    sampler: state.Sampler
-    versions: dict[str, int]
-    loading: set[str] = dataclasses.field(default_factory=set)
-    running: set[int] = dataclasses.field(default_factory=set)
-    event_interval_ms: float = INITIAL_EVENT_INTERVAL_MS
-    has_interval: bool = False
-    failed_at_ms: int = -FAILED_ENGINE_MS
-    losses: int = 0
-    last_loss_at_ms: int = -LOSS_GROUPING_MS
-    backoff_until_ms: int = 0
-
-    def has_free_slot(self) -> bool:
-        """Return whether a slot is free."""
-        return len(self.running) < self.sampler.slots
-
-    def may_start(self, now_ms: int) -> bool:
-        """Return whether an item may be started here.
-
-        After a lost connection only one item at a time is started until an
-        event arrives. Each further loss also starts a backoff, which
-        doubles up to `MAX_BACKOFF_MS`.
-        """
-        if now_ms < self.backoff_until_ms:
-            return False
-        if self.losses and self.running:
-            return False
-        return self.has_free_slot()
-
-    def on_connection_lost(self, now_ms: int) -> None:
-        """Record a run whose connection failed or was lost.
-
-        Losses within `LOSS_GROUPING_MS` of each other count as one.
-        """
-        if now_ms - self.last_loss_at_ms < LOSS_GROUPING_MS:
-            return
-        self.last_loss_at_ms = now_ms
-        if self.losses:
-            backoff_ms = INITIAL_BACKOFF_MS * 2 ** (self.losses - 1)
-            self.backoff_until_ms = now_ms + min(MAX_BACKOFF_MS, backoff_ms)
-        self.losses += 1
-
-    def end_backoff(self) -> None:
-        """Reset losses and backoff, since the engine sends events."""
-        self.losses = 0
-        self.backoff_until_ms = 0
-
-    def on_event(self, gap_ms: float) -> None:
-        """Update the average with the time between two events."""
-        if not self.has_interval:
-            self.event_interval_ms, self.has_interval = gap_ms, True
-        self.event_interval_ms += INTERVAL_SMOOTHING * (
-            gap_ms - self.event_interval_ms
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class LotPlan:
-    """An open lot and the outputs of its items."""
-
-    lot: state.Lot
-    route: state.PathRoute
-    accepted_at_ms: int
-    groups: dict[str, list[outputs.ItemOutput]]
-    is_ended: bool = False
-
-    def unfinished_groups(self) -> list[list[outputs.ItemOutput]]:
-        """Return the groups with items that have no result yet."""
-        finished = (outputs.Stage.SCORED, outputs.Stage.FAILED)
-        return [
-            group
-            for group in self.groups.values()
-            if any(output.stage not in finished for output in group)
-        ]
-
-    def should_write_now(self, now_ms: int) -> bool:
-        """Return whether finished results should be written at once.
-
-        The trainer continues once the log has the results of enough groups.
-        Until then, results are written in larger batches, unless the lot is
-        due soon.
-        """
-        all_groups = {item.group for item in self.lot.items}
-        complete = len(all_groups) - len(self.unfinished_groups())
-        due_at_ms = self.accepted_at_ms + self.route.due_ms
-        return (
-            complete >= self.lot.groups_wanted
-            or now_ms > due_at_ms - DUE_MARGIN_MS
-        )
-
-
 class Planner:
     """Assign waiting items to free slots of engines.
 
@@ -176,7 +52,7 @@
         lot with the same item may continue.
     restored : dict of str to checkpoints.Checkpoint
         Checkpoints of an earlier leader, by item.
-    usable : set of EngineId
+    usable : set of engine_view.EngineId
         Engines that may get items.
     """
 
@@ -187,11 +63,11 @@
     ) -> None:
         self.clock = clock
         self.is_near = is_near
-        self.lots: dict[str, LotPlan] = {}
-        self.engines: dict[EngineId, EngineView] = {}
+        self.lots: dict[str, lot_plan.LotPlan] = {}
+        self.engines: dict[engine_view.EngineId, engine_view.EngineView] = {}
         self.reusable: dict[str, outputs.ItemOutput] = {}
         self.restored: dict[str, checkpoints.Checkpoint] = {}
-        self.usable: set[EngineId] = set()
+        self.usable: set[engine_view.EngineId] = set()
         self.run_ids = itertools.count(1)
 
     def add_lot(
@@ -200,7 +76,7 @@
         route: state.PathRoute,
         accepted_at_ms: int,
         recorded: abc.Container[str],
-    ) -> LotPlan:
+    ) -> lot_plan.LotPlan:
         """Add a lot, without the items whose results are recorded.
 
         Reusable outputs of an ended lot continue if their weight versions
@@ -212,7 +88,7 @@
                 continue
             output = self._reuse_or_create_output(lot, route, item)
             groups.setdefault(item.group, []).append(output)
-        plan = LotPlan(lot, route, accepted_at_ms, groups)
+        plan = lot_plan.LotPlan(lot, route, accepted_at_ms, groups)
         self.lots[lot.id] = plan
         return plan
 
@@ -277,7 +153,7 @@
         for engine_id, sampler in available.items():
             view = self.engines.get(engine_id)
             if view is None:
-                self.engines[engine_id] = EngineView(
+                self.engines[engine_id] = engine_view.EngineView(
                     sampler, dict(sampler.versions)
                 )
             else:
@@ -310,7 +186,10 @@
         return starts
 
     def should_move(
-        self, plan: LotPlan, output: outputs.ItemOutput, view: EngineView
+        self,
+        plan: lot_plan.LotPlan,
+        output: outputs.ItemOutput,
+        view: engine_view.EngineView,
     ) -> bool:
         """Return whether a running item would end earlier elsewhere."""
         others = [
@@ -327,7 +206,9 @@
         is_faster = best_ms < MOVE_INTERVAL_RATIO * view.event_interval_ms
         return is_faster and gain_ms > MIN_MOVE_GAIN_MS
 
-    def on_engine_failure(self, view: EngineView, is_lost: bool) -> None:
+    def on_engine_failure(
+        self, view: engine_view.EngineView, is_lost: bool
+    ) -> None:
         """Record that an engine failed a run, or lost its connection."""
         view.failed_at_ms = self.clock.now_ms()
         if is_lost:
@@ -356,15 +237,18 @@
         output.item = item
         return output
 
-    def _slack_ms(self, plan: LotPlan, output: outputs.ItemOutput) -> float:
+    def _slack_ms(
+        self, plan: lot_plan.LotPlan, output: outputs.ItemOutput
+    ) -> float:
         target_ms = plan.accepted_at_ms + STEP_TARGET_MS
         return (
-            target_ms - output.remaining_events() * INITIAL_EVENT_INTERVAL_MS
+            target_ms
+            - output.remaining_events() * engine_view.INITIAL_EVENT_INTERVAL_MS
         )
 
     def _best_engine(
-        self, plan: LotPlan, output: outputs.ItemOutput
-    ) -> EngineView | None:
+        self, plan: lot_plan.LotPlan, output: outputs.ItemOutput
+    ) -> engine_view.EngineView | None:
         now_ms = self.clock.now_ms()
         return min(
             self._candidates(plan),
@@ -372,7 +256,9 @@
             default=None,
         )
 
-    def _candidates(self, plan: LotPlan) -> list[EngineView]:
+    def _candidates(
+        self, plan: lot_plan.LotPlan
+    ) -> list[engine_view.EngineView]:
         """Return the engines that can start an item of a lot now."""
         model = plan.lot.model
         now_ms = self.clock.now_ms()
@@ -386,7 +272,10 @@
         ]
 
     def _cost_ms(
-        self, view: EngineView, output: outputs.ItemOutput, now_ms: int
+        self,
+        view: engine_view.EngineView,
+        output: outputs.ItemOutput,
+        now_ms: int,
     ) -> float:
         cost_ms = output.remaining_events() * view.event_interval_ms
         share = len(view.running) / max(1, view.sampler.slots)
@@ -394,8 +283,8 @@
         cost_ms *= 1 + 0.2 * share
         if not self.is_near(view.sampler.data_centre):
             cost_ms += OTHER_REGION_COST_MS
-        if now_ms - view.failed_at_ms < FAILED_ENGINE_MS:
-            cost_ms += FAILED_ENGINE_MS
+        if now_ms - view.failed_at_ms < engine_view.FAILED_ENGINE_MS:
+            cost_ms += engine_view.FAILED_ENGINE_MS
         if view.sampler.name == output.avoided_engine:
-            cost_ms += FAILED_ENGINE_MS
+            cost_ms += engine_view.FAILED_ENGINE_MS
         return cost_ms
--- a/poplarloft/coordination/serving/weight_loading.py
+++ b/poplarloft/coordination/serving/weight_loading.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 
-from poplarloft.coordination.serving import planning
+from poplarloft.coordination.serving import engine_view
 from poplarloft import state
 
 __all__ = ["LoadVersion", "WeightLoadPlanner"]
@@ -39,7 +39,7 @@
         self.clock = clock
         self.targets: dict[str, state.WeightsTarget] = {}
         self.allowed_lag: dict[str, int] = {}
-        self.retry_at_ms: dict[planning.EngineId, int] = {}
+        self.retry_at_ms: dict[engine_view.EngineId, int] = {}
 
     def update_target(self, target: state.WeightsTarget) -> None:
         """Set the newest version of a model; ignore older versions."""
@@ -54,7 +54,8 @@
         self.allowed_lag[lot.model] = max(0, newest - lot.min_version)
 
     def next_loads(
-        self, engines: abc.Mapping[planning.EngineId, planning.EngineView]
+        self,
+        engines: abc.Mapping[engine_view.EngineId, engine_view.EngineView],
     ) -> list[LoadVersion]:
         """Return the loads to start now, and mark their models as loading."""
         now_ms = self.clock.now_ms()
@@ -79,8 +80,8 @@
         )
 
     def _due_loads(
-        self, engines: abc.Sequence[planning.EngineView]
-    ) -> list[tuple[planning.EngineView, state.WeightsTarget]]:
+        self, engines: abc.Sequence[engine_view.EngineView]
+    ) -> list[tuple[engine_view.EngineView, state.WeightsTarget]]:
         """Return due loads, first of models with fewest up-to-date engines."""
         rows = []
         for target in self.targets.values():
@@ -103,9 +104,9 @@
 
     def _split_by_version(
         self,
-        engines: abc.Sequence[planning.EngineView],
+        engines: abc.Sequence[engine_view.EngineView],
         target: state.WeightsTarget,
-    ) -> tuple[int, list[planning.EngineView]]:
+    ) -> tuple[int, list[engine_view.EngineView]]:
         """Return how many engines have or load a version, and the others."""
         model = target.model
         outdated = [
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/lot_scheduler.py
@@ -391,14 +391,7 @@
         """Fail items that were not generated within their time to live."""
         now_ms = self.clock.now_ms()
         for plan in list(self.planner.lots.values()):
-            if now_ms - plan.accepted_at_ms < plan.route.item_ttl_ms:
-                continue
-            for group in plan.groups.values():
-                for output in group:
-                    if output.stage in (
-                        serving.Stage.WAITING,
-                        serving.Stage.RUNNING,
-                    ):
-                        self.generator.cancel(output.item.id)
-                        output.stage = serving.Stage.FAILED
-                        self._on_result(output)
+            for output in plan.expired_outputs(now_ms):
+                self.generator.cancel(output.item.id)
+                output.stage = serving.Stage.FAILED
+                self._on_result(output)
