Start failed tasks again; survive a damaged key

Cause: a task that failed was logged once and never ran again, so that a daemon whose election or watches had ended stayed ready; errors of the leader's own tasks were swallowed; a leader key that can't be decoded ended the election for good. Change: lasting tasks on the platform path are supervised, with a pause that doubles; a damaged key counts as one of a failed leader; the three copies of waiting for the first of several tasks are one function. Restarts are counted and logged, not yet seen in readiness.

--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -83,9 +83,9 @@
         )
         self.feed.start(self.task_set)
         self.views.start(self.store, self.task_set, self.feed)
-        self.task_set.spawn(self._announce_leader())
+        self.task_set.supervise(self._announce_leader)
         await self.start_relay()
-        self.task_set.spawn(self.election.run())
+        self.task_set.supervise(self.election.run)
 
     async def stop(self) -> None:
         """Resign leadership and shut down."""
--- a/poplarloft/daemon/serving/feed_link.py
+++ b/poplarloft/daemon/serving/feed_link.py
@@ -62,7 +62,7 @@
     def start(self, task_set: tasks.TaskSet) -> None:
         """Start requesting updates from peers."""
         self.reader.address = self.peers.address
-        task_set.spawn(self._send_requests())
+        task_set.supervise(self._send_requests)
 
     def update_members(
         self, members: abc.Mapping[str, state.PeerRecord]
--- a/poplarloft/daemon/serving/leader_election.py
+++ b/poplarloft/daemon/serving/leader_election.py
@@ -11,6 +11,8 @@
 from poplarloft.daemon.serving import leader_key
 from poplarloft.daemon.serving import order_lock
 from poplarloft.daemon.serving import standby
+from poplarloft.daemon import tasks
+from poplarloft.protocol import errors
 from poplarloft.protocol import serving_messages
 from poplarloft import state
 
@@ -150,22 +152,12 @@
     ) -> None:
         """Run the scheduler until leadership is lost."""
         await scheduler.start()
-        tasks = {
-            asyncio.ensure_future(
-                self._keep_leadership(scheduler, leadership)
+        await tasks.run_first(
+            self._keep_leadership(scheduler, leadership),
+            self.link.send_heartbeats(
+                lambda: scheduler.fence, scheduler.outputs_for_standbys
             ),
-            asyncio.ensure_future(
-                self.link.send_heartbeats(
-                    lambda: scheduler.fence, scheduler.outputs_for_standbys
-                )
-            ),
-        }
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+        )
 
     async def _keep_leadership(
         self, scheduler: Scheduler, leadership: _Leadership
@@ -176,17 +168,11 @@
         ):
             return
         self.order_keeper.begin(self.key.lease, self.key.renewed_at_ms)
-        tasks = {
-            asyncio.ensure_future(self._renew(scheduler)),
-            asyncio.ensure_future(self.order_keeper.run()),
-            asyncio.ensure_future(self._await_replacement(scheduler.fence)),
-        }
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await tasks.run_first(
+            self._renew(scheduler),
+            self.order_keeper.run(),
+            self._await_replacement(scheduler.fence),
+        )
 
     async def _acquire(
         self, scheduler: Scheduler, leadership: _Leadership
@@ -254,22 +240,20 @@
         Returns None if the key changed instead, or if the failover did not
         succeed.
         """
-        leader = serving_messages.decode_leader(entry.value)
+        try:
+            leader = serving_messages.decode_leader(entry.value)
+        except errors.FieldError as error:
+            eliot.log_message(
+                "entry-unreadable", key=entry.key, error=str(error)
+            )
+            return await self._fail_over(entry.revision)
         self.failover.set_leader(leader)
         self.on_leader(leader)
-        waits = {
-            asyncio.ensure_future(
-                self.key.await_change(entry.revision, revision)
-            ),
-            asyncio.ensure_future(self._await_silence()),
-        }
-        subscription = asyncio.ensure_future(self.link.subscribe(leader))
-        try:
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in (*waits, subscription):
-                task.cancel()
-            await asyncio.gather(*waits, subscription, return_exceptions=True)
+        await tasks.run_first(
+            self.key.await_change(entry.revision, revision),
+            self._await_silence(),
+            self.link.subscribe(leader),
+        )
         if not self.failover.should_take_over():
             return None
         if self.reported_silent != leader:
--- a/poplarloft/daemon/serving/leader_key.py
+++ b/poplarloft/daemon/serving/leader_key.py
@@ -73,7 +73,7 @@
 
     def is_mine(self, entry: state.Entry) -> bool:
         """Return whether this incarnation of the daemon wrote the key."""
-        return serving_messages.decode_leader(entry.value) == self.own_record
+        return entry.value == serving_messages.encode_leader(self.own_record)
 
     async def renew(self) -> FailureKind | None:
         """Renew the lease; return the kind of failure, None on success."""
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/lot_scheduler.py
@@ -148,9 +148,9 @@
         if self.is_stopped:
             return
         self.has_restored = True
-        self.task_set.spawn(self._tick())
-        self.task_set.spawn(self.checkpoint_store.run())
-        self.task_set.spawn(self.garbage_collector.run())
+        self.task_set.supervise(self._tick)
+        self.task_set.supervise(self.checkpoint_store.run)
+        self.task_set.supervise(self.garbage_collector.run)
         self.wake()
 
     async def stop(self) -> None:
--- a/poplarloft/daemon/serving/lots_view.py
+++ b/poplarloft/daemon/serving/lots_view.py
@@ -53,7 +53,7 @@
             self.clock, store, lot_records.LOTS_PREFIX, self, feed=feed
         )
         self.history = watcher.history
-        task_set.spawn(watcher.run())
+        task_set.supervise(watcher.run)
 
     def on_accepted(self, hint: state.LotAccepted) -> None:
         """Add a lot announced by a peer ahead of the store.
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -51,8 +51,8 @@
     reloader = reloading.SettingsReloader(arguments, daemon)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     eliot.log_message("starting", duty=settings.duty)
-    daemon.task_set.spawn(recorder.run())
-    daemon.task_set.spawn(reloader.run())
+    daemon.task_set.supervise(recorder.run)
+    daemon.task_set.supervise(reloader.run)
     if settings.metrics_listen is not None:
         await recorder.serve(addresses.parse_address(settings.metrics_listen))
     await daemon.start()
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -225,7 +225,7 @@
     ) -> None:
         """Start listening for peers, and register and list them."""
         listen_address = await self.server.start(listen)
-        task_set.spawn(self._follow_peers(listen_address))
+        task_set.supervise(lambda: self._follow_peers(listen_address))
 
     async def stop(self) -> None:
         """Abort the calls in flight; their senders use other paths."""
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/view.py
@@ -50,7 +50,7 @@
         watcher = prefix_watcher.PrefixWatcher(
             self.clock, store, self.prefix, self, feed=feed
         )
-        task_set.spawn(watcher.run())
+        task_set.supervise(watcher.run)
 
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
         """Replace the retirements and apply all existing entries."""
@@ -142,7 +142,7 @@
         watcher = prefix_watcher.PrefixWatcher(
             self.clock, store, names.SAMPLER_PREFIX, self, self.pause_ms, feed
         )
-        task_set.spawn(watcher.run())
+        task_set.supervise(watcher.run)
 
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
         """Apply all announcements; remove upstreams without one."""
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -64,8 +64,11 @@
 
     async def start(self, address: state.Address) -> state.Address:
         """Listen on `address`; return it with the port that was bound."""
+        is_ipv6 = ":" in address.host
         self.listener = socket.create_server(
-            (address.host, address.port), backlog=BACKLOG
+            (address.host, address.port),
+            family=socket.AF_INET6 if is_ipv6 else socket.AF_INET,
+            backlog=BACKLOG,
         )
         self.listener.setblocking(False)
         self.server = await asyncio.start_server(
--- a/tests/test_serving_failover.py
+++ b/tests/test_serving_failover.py
@@ -126,3 +126,40 @@
         )
     )
     assert len(await fleet.read_all("lot-a")) == 4
+
+
+async def test_unreadable_leader_key_is_replaced(fleet):
+    await fleet.submit("lot-a", serving_fleet.lot_body(4))
+    leader, _ = await leader_and_standby(fleet)
+    await fleet.kill(leader)
+    await fleet.store.put("cells/0/runner", b"damaged")
+    await serving_fleet.eventually(
+        lambda: any(
+            d.election.scheduler and d.election.scheduler.fence
+            for d in fleet.bulks
+        )
+    )
+
+
+@pytest.mark.parametrize("part", ["heartbeats", "renewal", "campaign"])
+async def test_error_in_the_election_costs_one_term_at_most(fleet, part):
+    """Each part of the election fails once, on all daemons."""
+    await fleet.submit("lot-0", serving_fleet.lot_body(1))
+    await leader_and_standby(fleet)
+    for daemon in fleet.bulks:
+        if part == "heartbeats":
+            _fail_once(daemon.standby_link, "_choose_receivers")
+        elif part == "renewal":
+            _fail_once(daemon.election.key, "renew")
+        else:
+            _fail_once(daemon.election, "_stand_by")
+    await fleet.submit("lot-a", serving_fleet.lot_body(4))
+    assert len(await fleet.read_all("lot-a", timeout_s=30)) == 4
+
+
+def _fail_once(owner, name):
+    def fail(*args):
+        delattr(owner, name)
+        raise ValueError(f"{name} failed on demand")
+
+    setattr(owner, name, fail)
