--- a/poplarloft/daemon/tests/test_tasks.py
+++ b/poplarloft/daemon/tests/test_tasks.py
@@ -21,6 +21,7 @@
     async with asyncio.timeout(5):
         await third_start.wait()
         await task
+    await asyncio.sleep(0)  # the task set's callback runs
     assert task_set.restarts == 2
     assert not task_set.tasks
 
