End runs by missing events, not by an absolute time

Change: silence ends a run as before, counted from when it is waited for; bytes that complete no event in 2 s, or exceed 1 MB, end it too. Shown: test_engine_that_completes_no_event_is_left, both ways.

--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -18,6 +18,7 @@
 FIRST_EVENT_TIMEOUT_MS = 1_500
 MIN_STALL_TIMEOUT_MS = 500
 STALL_INTERVALS = 10
+MAX_EVENT_MS = 2_000  # between events, even if single bytes keep arriving
 RETRY_MS = 100
 UNPROCESSABLE = 422
 OK = 200
@@ -251,7 +252,7 @@
         output, view = run.output, run.view
         reader = samplers.EventReader()
         last_ms = None
-        response.set_deadline(FIRST_EVENT_TIMEOUT_MS)
+        progress_ms = self.clock.now_ms()
         try:
             async for chunk in response.chunks():
                 events = reader.feed(chunk)
@@ -259,15 +260,17 @@
                     version = event.version or version
                     self._check_version(run, version)
                     output.append(event.number, event.data, version)
+                now_ms = self.clock.now_ms()
                 if not events:
+                    if now_ms - progress_ms > MAX_EVENT_MS:
+                        raise _Stopped("no event has been completed")
                     continue
+                progress_ms = now_ms
                 view.end_backoff()
-                now_ms = self.clock.now_ms()
                 if last_ms is not None:
                     view.on_event((now_ms - last_ms) / len(events))
                 last_ms = now_ms
-                # Only whole events count as progress, not single bytes.
-                response.set_deadline(
+                response.idle_timeout_ms = int(
                     max(
                         MIN_STALL_TIMEOUT_MS,
                         STALL_INTERVALS * view.event_interval_ms,
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -26,6 +26,7 @@
 CALL_TIMEOUT_MS = 1_000
 MAX_REPORT_BYTES = 262_144
 MAX_DISCARDED_BYTES = 16_384
+MAX_EVENT_BYTES = 1_048_576
 FailureKind = retries.FailureKind
 HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding"}
@@ -112,10 +113,13 @@
         Raises
         ------
         ValueError
-            If an event's number or weight version is not an integer.
+            If an event's number or weight version is not an integer, or
+            an event is larger than `MAX_EVENT_BYTES`.
         """
         self.buffer += piece
         *blocks, self.buffer = self.buffer.split(b"\n\n")
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event is over {MAX_EVENT_BYTES} bytes")
         return [_event(block) for block in blocks if block.strip()]
 
 
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -87,11 +87,6 @@
         """Let reading fail once the timeout of the request has ended."""
         self.deadline_s = self.expires_s
 
-    def set_deadline(self, timeout_ms: float) -> None:
-        """Let reading fail in `timeout_ms`, even if data keeps arriving."""
-        now_s = asyncio.get_running_loop().time()
-        self.deadline_s = now_s + timeout_ms / MS_PER_S
-
     async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body, one chunk per read of the socket.
 
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -41,6 +41,9 @@
         Number of next requests that get status 500.
     silent : bool
         Whether requests run without ever getting a response.
+    unfinished_event : bytes
+        If not empty, outputs consist of this without end, which completes
+        no event.
     checks_fence : bool
         Whether orders with an older fencing token are refused.
     order_times : list of float
@@ -68,6 +71,7 @@
         self.failing = 0
         self.resets = 0
         self.silent = False
+        self.unfinished_event = b""
         self.server = http_server.HttpServer(
             self._handle,
             http_server.ServerLimits(),
@@ -159,6 +163,9 @@
         self.running += 1
         breaks_after, self.breaks_after = self.breaks_after, None
         try:
+            while self.unfinished_event:
+                await asyncio.sleep(self.event_ms / MS_PER_S)
+                yield self.unfinished_event
             for number in range(last_event_id + 1, count + 1):
                 if (
                     breaks_after is not None
--- a/tests/test_serving_lots.py
+++ b/tests/test_serving_lots.py
@@ -205,3 +205,14 @@
     await unstarted.start()
     assert unstarted.wake not in daemon.views.operator.listeners
     assert not unstarted.task_set.tasks
+
+
+@pytest.mark.parametrize("piece", [b"x", b"x" * 100_000])
+async def test_engine_that_completes_no_event_is_left(fleet, piece):
+    """Whether it sends single bytes now and then, or bytes without end."""
+    fleet.engines[0].unfinished_event = piece
+    fleet.engines[0].event_ms = 50
+    await fleet.start()
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(4)) == 202
+    check_complete(await fleet.read_all("lot-a", timeout_s=30), 4, 10)
+    assert fleet.engines[0].runs
