Send checkpoints over a connection of their own

Change: bulk messages have a second connection to each receiver; a cycle of checkpoints begins once that is established.

--- a/poplarloft/daemon/serving/peer_link.py
+++ b/poplarloft/daemon/serving/peer_link.py
@@ -39,10 +39,18 @@
         self.handlers[kind] = handler
 
     def send(
-        self, address: state.Address, message: state.ServingMessage
-    ) -> None:
-        """Queue a message; it is dropped if the peer can't be reached."""
-        self.sockets.send(address, serving_messages.encode_message(message))
+        self,
+        address: state.Address,
+        message: state.ServingMessage,
+        is_bulk: bool = False,
+    ) -> bool:
+        """Queue a message; it is dropped if the peer can't be reached.
+
+        A bulk message does not hold up others to the same peer. Returns
+        whether the message was queued.
+        """
+        data = serving_messages.encode_message(message)
+        return self.sockets.send(address, data, is_bulk=is_bulk)
 
     def disconnect(self, address: state.Address) -> None:
         """Close the connection to a peer."""
--- a/poplarloft/daemon/serving/standby.py
+++ b/poplarloft/daemon/serving/standby.py
@@ -56,6 +56,7 @@
         self.link = link
         self.subscribers: dict[str, tuple[state.Subscribe, int]] = {}
         self.receivers: tuple[str, ...] = ()
+        self.connecting: set[str] = set()
         self.checkpoint_plan = serving.CheckpointPlan(
             clock, 1, CYCLE_INTERVAL_MS
         )
@@ -111,6 +112,7 @@
         """
         self.subscribers.clear()
         self.receivers = ()
+        self.connecting.clear()
         self.is_leading = True
         try:
             await self._run_heartbeats(fence, outputs)
@@ -158,6 +160,7 @@
         outputs: abc.Callable[[], abc.Iterable[serving.ItemOutput]],
         standbys: tuple[state.Address, ...],
     ) -> None:
+        self._connect_receivers(fence, standbys)
         is_first = self.checkpoint_plan.begin_cycle_if_due()
         increments = self.checkpoint_plan.next_increments(outputs())
         for number, batch in enumerate(_batches(increments)):
@@ -165,13 +168,28 @@
                 fence, is_first and not number, batch, standbys
             )
             for name in self.receivers:
-                self.link.send(self.subscribers[name][0].address, message)
+                address = self.subscribers[name][0].address
+                self.link.send(address, message, is_bulk=True)
+
+    def _connect_receivers(
+        self, fence: int, standbys: tuple[state.Address, ...]
+    ) -> None:
+        """Start a new cycle once a new receiver can be reached.
+
+        Messages on a connection that is not established yet are dropped.
+        """
+        empty = state.CheckpointBatch(fence, False, (), standbys)
+        for name in list(self.connecting):
+            address = self.subscribers[name][0].address
+            if self.link.send(address, empty, is_bulk=True):
+                self.connecting.discard(name)
+                self.checkpoint_plan.restart_cycle()
 
     def _choose_receivers(self) -> None:
         """Choose the standbys that get checkpoints, preferably of this region.
 
         Earlier receivers are kept. A new one needs a new cycle, since it has
-        none of the outputs yet.
+        none of the outputs yet, once it is connected.
         """
         by_preference = sorted(
             self.subscribers,
@@ -185,7 +203,8 @@
         chosen = tuple((kept + added)[:MAX_RECEIVERS])
         if chosen != self.receivers:
             self.receivers = chosen
-            self.checkpoint_plan.restart_cycle()
+            self.connecting.update(added)
+        self.connecting.intersection_update(chosen)
 
     def _expire_subscriptions(self) -> None:
         oldest_ms = self.clock.now_ms() - SUBSCRIPTION_TTL_MS
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -47,7 +47,10 @@
 
 
 class PeerSockets:
-    """One receiving socket, and one sending socket per peer address.
+    """One receiving socket, and up to two sending sockets per peer address.
+
+    Bulk messages have a connection of their own, so that others do not
+    wait behind them.
 
     Parameters
     ----------
@@ -67,7 +70,7 @@
         self.keys = keys
         self.context = zmq.Context()
         self.receiver: zmq.Socket[bytes] | None = None
-        self.senders: dict[state.Address, zmq.Socket[bytes]] = {}
+        self.senders: dict[tuple[state.Address, bool], zmq.Socket[bytes]] = {}
         self.authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
         self.sent_bytes = 0
         self.sent_messages = 0
@@ -126,28 +129,35 @@
         address: state.Address,
         data: bytes,
         server_key: bytes | None = None,
-    ) -> None:
-        """Queue a message for `address`; drop it if that is not possible."""
-        sender = self.senders.get(address)
+        is_bulk: bool = False,
+    ) -> bool:
+        """Queue a message for `address`; drop it if that is not possible.
+
+        Returns whether it was queued.
+        """
+        sender = self.senders.get((address, is_bulk))
         if sender is None:
             sender = self._connect(address, server_key)
-            self.senders[address] = sender
+            self.senders[address, is_bulk] = sender
         try:
             sender.send(data, zmq.NOBLOCK)
             self.sent_messages += 1
             self.sent_bytes += len(data)
         except zmq.Again:
             self.dropped_messages += 1
+            return False
+        return True
 
     def disconnect(self, address: state.Address) -> None:
-        """Close the socket that sends to a peer."""
-        sender = self.senders.pop(address, None)
-        if sender is not None:
-            sender.close(linger=0)
+        """Close the sockets that send to a peer."""
+        for is_bulk in (False, True):
+            sender = self.senders.pop((address, is_bulk), None)
+            if sender is not None:
+                sender.close(linger=0)
 
     def close(self) -> None:
         """Close all sockets and stop the authentication of clients."""
-        for address in list(self.senders):
+        for address, _ in list(self.senders):
             self.disconnect(address)
         receiver, self.receiver = self.receiver, None
         if receiver is not None:
--- a/poplarloft/transport/tests/test_peers.py
+++ b/poplarloft/transport/tests/test_peers.py
@@ -78,3 +78,15 @@
     await wait_for(lambda: len(received) >= queued)
     counting.cancel()
     assert largest <= 2 * peers.MAX_MESSAGES_PER_TURN
+
+
+async def test_bulk_messages_have_a_connection_of_their_own(pair):
+    sender, receiver, address, received = pair
+    receiver.start()
+    async with asyncio.timeout(10):
+        while b"bulk" not in received:
+            sender.send(address, b"bulk", is_bulk=True)
+            await asyncio.sleep(0.005)
+    assert set(sender.senders) == {(address, False), (address, True)}
+    sender.disconnect(address)
+    assert sender.senders == {}
--- a/tests/test_serving_orders.py
+++ b/tests/test_serving_orders.py
@@ -57,7 +57,7 @@
     )
     leader.store.direct.address = fleet.store.refusing_address
     leader.store.update_peers({})
-    leader.peers.send = lambda address, message: None
+    leader.peers.send = lambda *message, **options: None
     others = [daemon for daemon in fleet.bulks if daemon is not leader]
     await name_version(fleet, 2)
     leader.views.operator.targets.update(others[0].views.operator.targets)
