Reject items that can't be sent; pass all headers

Cause: a header value beyond ASCII, which HTTP/1.1 allows, was decoded as Latin-1 and could not be encoded again, so the request or response ended without an answer. An item whose path, id or headers make no valid request was accepted, and its run raised and was started again at once, without end. Change: headers are encoded as they were decoded; such lots get 400; a run that fails unexpectedly counts as a failed attempt.

--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -149,6 +149,11 @@
         except _Stopped as stopped:
             outcome = str(stopped)
             self._on_stopped(run, stopped)
+        except Exception as error:
+            # Without a limit the item would be started again at once.
+            outcome = f"failed: {error!r}"
+            self._count_error(run)
+            self._on_stopped(run, _Stopped(outcome))
         finally:
             view.running.discard(run.run_id)
             if self.runs.get(output.item.id) is run:
@@ -236,13 +241,16 @@
         self, run: _Run, response: http_client.UpstreamResponse
     ) -> None:
         await samplers.discard(response)
-        output = run.output
         if not samplers.proves_not_run(response):
-            output.errors += 1
-            if output.errors >= run.plan.route.max_attempts:
-                output.stage = serving.Stage.FAILED
+            self._count_error(run)
         raise _Stopped(f"status {response.status}")
 
+    def _count_error(self, run: _Run) -> None:
+        """Count a failed attempt; fail the item after too many of them."""
+        run.output.errors += 1
+        if run.output.errors >= run.plan.route.max_attempts:
+            run.output.stage = serving.Stage.FAILED
+
     async def _process_events(
         self,
         run: _Run,
--- a/poplarloft/platform/lots.py
+++ b/poplarloft/platform/lots.py
@@ -2,11 +2,14 @@
 
 import base64
 import binascii
+from collections import abc
 
+import h11
 import msgspec
 
 from poplarloft.platform import names
 from poplarloft.protocol import errors
+from poplarloft.protocol import http
 from poplarloft import state
 
 __all__ = ["decode_lot", "encode_results"]
@@ -60,7 +63,7 @@
         raise errors.FieldError("lot", str(error)) from error
     if not document.items:
         raise errors.FieldError("items", "expected at least one item")
-    items = tuple(_item(row) for row in document.items)
+    items = tuple(_item(host, row) for row in document.items)
     if len({item.id for item in items}) < len(items):
         raise errors.FieldError("items", "two items have the same id")
     return state.Lot(
@@ -93,7 +96,9 @@
     )
 
 
-def _item(row: _Item) -> state.LotItem:
+def _item(host: str, row: _Item) -> state.LotItem:
+    body = _bytes("items.body", row.body)
+    _check_request("items", host, row.path, row.id, row.headers, body)
     headers = {name.lower(): value for name, value in row.headers.items()}
     counts = headers.get(names.TOKEN_COUNTS, "").partition(",")
     hint = headers.get(names.LENGTH_HINT, "")
@@ -101,7 +106,7 @@
         row.id,
         row.path,
         tuple(row.headers.items()),
-        _bytes("items.body", row.body),
+        body,
         row.tokens,
         row.group,
         int(counts[0]) if counts[0].isdecimal() else 0,
@@ -114,9 +119,35 @@
     if row is None:
         return None
     body = _bytes("scorer.body", row.body)
+    _check_request("scorer", row.host, row.path, row.id, {}, body)
     return state.RewardCall(row.id, row.host, row.path, body)
 
 
+def _check_request(
+    field: str,
+    host: str,
+    path: str,
+    request_id: str,
+    headers: abc.Mapping[str, str],
+    body: bytes,
+) -> None:
+    """Raise `FieldError` unless a request with these parts can be sent."""
+    rows = [
+        ("host", host),
+        (names.REQUEST_ID, request_id),
+        ("content-length", str(len(body))),
+        *headers.items(),
+    ]
+    try:
+        h11.Request(
+            method="POST", target=path, headers=http.encode_headers(rows)
+        )
+    except (h11.LocalProtocolError, ValueError) as error:
+        raise errors.FieldError(
+            field, f"not a valid request: {error}"
+        ) from error
+
+
 def _bytes(field: str, text: str) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
--- a/poplarloft/protocol/http.py
+++ b/poplarloft/protocol/http.py
@@ -15,6 +15,7 @@
     "BodyStream",
     "CallerHeaders",
     "HttpRequest",
+    "encode_headers",
     "HttpResponse",
     "LEAVING_HEADER",
     "NOT_EXECUTED_HEADER",
@@ -203,6 +204,16 @@
 MS_PER_S = 1_000
 
 
+def encode_headers(
+    headers: abc.Iterable[tuple[str, str]],
+) -> list[tuple[bytes, bytes]]:
+    """Return headers as bytes, the inverse of how they are decoded."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers
+    ]
+
+
 def problem_response(refusal: state.Refusal) -> HttpResponse:
     """Return a refusal as a problem document, with its verdict.
 
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -384,4 +384,8 @@
         all_headers.append(("transfer-encoding", "chunked"))
     else:
         all_headers.append(("content-length", str(length)))
-    return h11.Request(method=method, target=target, headers=all_headers)
+    return h11.Request(
+        method=method,
+        target=target,
+        headers=http.encode_headers(all_headers),
+    )
--- a/poplarloft/transport/http_session.py
+++ b/poplarloft/transport/http_session.py
@@ -204,7 +204,9 @@
     ) -> h11.Response:
         if self.server.draining:
             headers.append(("connection", "close"))
-        return h11.Response(status_code=status, headers=headers)
+        return h11.Response(
+            status_code=status, headers=http.encode_headers(headers)
+        )
 
     async def _send_refusal(
         self, refused: server_limits.RequestRefusedError
--- a/poplarloft/transport/tests/test_http.py
+++ b/poplarloft/transport/tests/test_http.py
@@ -212,3 +212,15 @@
     received = await exchange(address, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
     assert received.startswith(b"HTTP/1.1 505")
     await server.drain(0)
+
+
+async def test_header_values_beyond_ascii_pass_both_ways():
+    async def echo(request):
+        return http.HttpResponse(200, (("x-note", request.headers["x-note"]),))
+
+    server, address = await serve(echo)
+    client = http_client.HttpClient()
+    headers = (("x-note", "caf\xe9"),)
+    sent = await client.send(address, "GET", "/", headers)
+    assert sent.unwrap().headers["x-note"] == "caf\xe9"
+    await server.drain(0)
--- a/tests/test_serving_lots.py
+++ b/tests/test_serving_lots.py
@@ -1,6 +1,7 @@
 """Lots end to end: faults of the store, of engines and of daemons."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -179,6 +180,48 @@
     assert b"lot" in response or b"items" in response
 
 
+def damaged_lot(**changes):
+    document = json.loads(serving_fleet.lot_body(2))
+    document["items"][1].update(changes)
+    return json.dumps(document).encode()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"path": "/l/with space"},
+        {"headers": {"X-Model": "m\r\nX-Smuggled: 1"}},
+        {"headers": {"not a name": "v"}},
+        {"headers": {"Content-Length": "3"}},
+        {"id": "line\nbreak"},
+        {"scorer": {"id": "r", "host": "h\n", "path": "/p/"}},
+    ],
+)
+async def test_item_that_cannot_be_sent_is_rejected(fleet, changes):
+    await fleet.start()
+    assert await fleet.submit("lot-a", damaged_lot(**changes)) == 400
+    assert await fleet.submit("lot-b", serving_fleet.lot_body(2)) == 202
+    check_complete(await fleet.read_all("lot-b"), 2, 10)
+
+
+async def test_item_whose_run_fails_unexpectedly_is_listed_as_down(fleet):
+    await fleet.start()
+    generator_of = fleet.bulks[0].election
+    await serving_fleet.eventually(lambda: generator_of.scheduler)
+    client = generator_of.scheduler.generator.client
+    attempts = []
+
+    async def fail(sampler, host, item, *args):
+        attempts.append(item.id)
+        raise RuntimeError("unexpected")
+
+    client.start_item = fail
+    assert await fleet.submit("lot-a", serving_fleet.lot_body(1)) == 202
+    results = await fleet.read_all("lot-a")
+    assert [row["state"] for row in results] == ["down"]
+    assert len(attempts) == 3
+
+
 async def test_undecodable_record_is_no_reason_to_come_back(fleet):
     await fleet.start()
     assert await fleet.submit("lot-a", serving_fleet.lot_body(1)) == 202
--- a/tests/test_serving_requests.py
+++ b/tests/test_serving_requests.py
@@ -175,3 +175,10 @@
     status, _, _ = await fleet.call("POST", "/p/1", b"x" * 1_000_001)
     assert status == 413
     assert runs(fleet) == []
+
+
+async def test_header_values_beyond_ascii_are_forwarded(fleet):
+    """HTTP/1.1 allows them in values, as bytes without a meaning."""
+    headers = (("x-request-id", "r1"), ("x-note", "caf\xe9"))
+    status, _, _ = await fleet.call("POST", "/p/1", b"body", headers)
+    assert status == 200
