--- a/poplarloft/transport/connections.py
+++ b/poplarloft/transport/connections.py
@@ -45,6 +45,8 @@
 
     Attributes
     ----------
+    read_bytes : int
+        Number of bytes taken from the reader so far.
     expires_s : float
         Monotonic time after which the peer may close the idle connection;
         infinite until the peer has announced a timeout.
