Log the limits that upstreams name

On-call engineers could not tell from logs or metrics that an upstream had named a limit. limit-named, limit-ended and limit-unreadable say it, with the response that told; gauges and counters follow by upstream. No decision changes.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -14,6 +14,8 @@
 from poplarloft.coordination.serving.failover import FailoverDetector
 from poplarloft.coordination.serving.feeds import FeedReader
 from poplarloft.coordination.serving.leader_location import LeaderLocation
+from poplarloft.coordination.serving.limit_table import KnownLimit
+from poplarloft.coordination.serving.limit_table import LimitTable
 from poplarloft.coordination.serving.lot_plan import LotPlan
 from poplarloft.coordination.serving.order_lock import OrderLock
 from poplarloft.coordination.serving.order_lock import OrderRules
@@ -44,8 +46,10 @@
     "FailoverDetector",
     "FeedReader",
     "ItemOutput",
+    "KnownLimit",
     "LeaderLocation",
     "LeastExpectedTime",
+    "LimitTable",
     "LoadVersion",
     "LotPlan",
     "OrderLock",
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -5,6 +5,7 @@
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import peer_link
 from poplarloft.daemon.serving import store_relay
+from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon import tasks
 from poplarloft.protocol import addresses
 from poplarloft.protocol import serving_settings
@@ -44,6 +45,7 @@
             self.client, self.store, settings.name
         )
         self.peers = peer_link.PeerLink()
+        self.limits = upstream_limits.UpstreamLimits(settings.name)
         self.regions = settings.region_by_data_centre()
 
     def apply(self, settings: serving_settings.ServingSettings) -> list[str]:
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -13,6 +13,7 @@
 from poplarloft.daemon.serving import store_views
 from poplarloft.platform import documents
 from poplarloft.platform import names
+from poplarloft.platform import samplers
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
@@ -109,7 +110,7 @@
             self.clock,
             self.wall_clock,
             self.store,
-            self.client,
+            samplers.SamplerClient(self.client, self.limits),
             self.settings.name,
             fence,
             self.make_balancer(),
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -50,7 +50,7 @@
         self.forwarder = forwarding.Forwarder(
             self.clock,
             self.samplers,
-            samplers.SamplerClient(self.client),
+            samplers.SamplerClient(self.client, self.limits),
             self.make_balancer(),
             self.rng,
         )
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -9,6 +9,7 @@
 
 from poplarloft.coordination import serving
 from poplarloft.daemon import tasks
+from poplarloft.platform import event_stream
 from poplarloft.platform import samplers
 from poplarloft import state
 from poplarloft.transport import http_client
@@ -258,7 +259,7 @@
         version: int,
     ) -> None:
         output, view = run.output, run.view
-        reader = samplers.EventReader()
+        reader = event_stream.EventReader()
         last_ms = None
         progress_ms = self.clock.now_ms()
         try:
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/lot_scheduler.py
@@ -16,7 +16,6 @@
 from poplarloft.daemon import tasks
 from poplarloft.platform import samplers
 from poplarloft import state
-from poplarloft.transport import http_client
 
 __all__ = ["LotScheduler"]
 
@@ -40,7 +39,7 @@
         Monotonic clock, and wall clock as in the records of lots.
     store : state.RevisionStore
         Holds lots and results.
-    client : http_client.HttpClient
+    sampler_client : samplers.SamplerClient
         Connections to upstreams.
     name : str
         This daemon's name.
@@ -68,7 +67,7 @@
         clock: state.Clock,
         wall_clock: state.Clock,
         store: state.RevisionStore,
-        client: http_client.HttpClient,
+        sampler_client: samplers.SamplerClient,
         name: str,
         fence: int,
         balancer: serving.LeastExpectedTime,
@@ -93,7 +92,6 @@
         self.checkpoint_store = checkpoint_store.CheckpointStore(
             clock, store, lambda: self.fence, self.unrecorded_outputs
         )
-        sampler_client = samplers.SamplerClient(client)
         self.rewards = rewards.RewardCaller(
             clock,
             self.operator_view,
--- a/poplarloft/daemon/serving/telemetry.py
+++ b/poplarloft/daemon/serving/telemetry.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import sys
 import typing
 
@@ -100,9 +101,24 @@
             self.page.durations.labels(kind, request_class).observe(
                 message["duration_ms"]
             )
+        self._count_limits(kind, message)
         if self.rate_limiter.allows(kind, is_failure):
             self.output.write(_encode(message))
 
+    def _count_limits(self, kind: str, message: dict[str, typing.Any]) -> None:
+        """Keep the metrics of upstreams that have named a limit."""
+        upstream = message.get("upstream", "")
+        match kind:
+            case "limit-named":
+                rate_per_s = message["rate_per_s"]
+                self.page.limits.labels(upstream).set(rate_per_s)
+            case "limit-ended":
+                with contextlib.suppress(KeyError):
+                    self.page.limits.remove(upstream)
+            case "permit":
+                outcome = message["outcome"]
+                self.page.permits.labels(upstream, outcome).inc()
+
     async def _answer(self, request: http.HttpRequest) -> http.HttpResponse:
         headers = (("content-type", "text/plain; version=0.0.4"),)
         return http.HttpResponse(200, headers, self.page.render())
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -27,6 +27,7 @@
 TOKEN_COUNTS = "x-token-counts"
 LAST_EVENT_ID = "last-event-id"
 RETRY_AFTER = "retry-after"
+RATE_LIMIT = "server-limit"  # requests per second of all instances
 
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -5,18 +5,24 @@
 
 from collections import abc
 import dataclasses
+import typing
 
 import msgspec
 from returns import result
 
 from poplarloft.coordination import retries
+from poplarloft.platform import limits
 from poplarloft.platform import names
 from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import errors
 from poplarloft.transport import http_client
 
-__all__ = ["EngineReport", "EventReader", "SamplerClient", "SampleEvent"]
+__all__ = [
+    "EngineReport",
+    "ResponseObserver",
+    "SamplerClient",
+]
 
 ACCEPTED = 202
 OK = 200
@@ -26,7 +32,6 @@
 CALL_TIMEOUT_MS = 1_000
 MAX_REPORT_BYTES = 262_144
 MAX_DISCARDED_BYTES = 16_384
-MAX_EVENT_BYTES = 1_048_576
 FailureKind = retries.FailureKind
 HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding"}
@@ -34,25 +39,6 @@
 Outcome = result.Result[http_client.UpstreamResponse, errors.TransportFailure]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SampleEvent:
-    """One event of an item's output.
-
-    Parameters
-    ----------
-    number : int
-        Position in the stream; 0 if the event has none.
-    data : str
-        Generated text.
-    version : int or None
-        Weight version from this event on; None where it does not change.
-    """
-
-    number: int
-    data: str
-    version: int | None
-
-
 class _Model(msgspec.Struct):
     name: str
     version: int
@@ -101,42 +87,13 @@
         return self.status == STALE_FENCE
 
 
-class EventReader:
-    """Parser of an event stream; buffers the incomplete event at its end."""
+class ResponseObserver(typing.Protocol):
+    """Is told what the responses of upstreams say about their limits."""
 
-    def __init__(self) -> None:
-        self.buffer = b""
-
-    def feed(self, piece: bytes) -> list[SampleEvent]:
-        """Return the events that `piece` completes.
-
-        Raises
-        ------
-        ValueError
-            If an event's number or weight version is not an integer, or
-            an event is larger than `MAX_EVENT_BYTES`.
-        """
-        self.buffer += piece
-        *blocks, self.buffer = self.buffer.split(b"\n\n")
-        if len(self.buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event is over {MAX_EVENT_BYTES} bytes")
-        return [_event(block) for block in blocks if block.strip()]
-
-
-def _event(block: bytes) -> SampleEvent:
-    number, version = 0, None
-    data = []
-    for line in block.decode("utf-8").split("\n"):
-        name, _, value = line.partition(":")
-        value = value.removeprefix(" ")
-        match name:
-            case "id":
-                number = int(value)
-            case "data":
-                data.append(value)
-            case names.VERSION:
-                version = int(value)
-    return SampleEvent(number, "\n".join(data), version)
+    def on_response(
+        self, sampler: state.Sampler, named: state.NamedLimit, request_id: str
+    ) -> None:
+        """Take note of what the response to one request says."""
 
 
 class SamplerClient:
@@ -145,10 +102,20 @@
     A `state.Sampler` is the announced state of an upstream. In all methods,
     `deadline_ms` is the time in milliseconds that the upstream is given, not
     a point in time.
+
+    Parameters
+    ----------
+    client : http_client.HttpClient
+        Pooled connections.
+    observer : ResponseObserver
+        Learns the limits that upstreams name.
     """
 
-    def __init__(self, client: http_client.HttpClient) -> None:
+    def __init__(
+        self, client: http_client.HttpClient, observer: ResponseObserver
+    ) -> None:
         self.client = client
+        self.observer = observer
 
     async def forward(
         self,
@@ -170,8 +137,8 @@
             (names.DEADLINE_MS, str(deadline_ms)),
             (names.EXPECT_INSTANCE, sampler.name),
         ]
-        return await self.client.send(
-            sampler.address,
+        return await self._send(
+            sampler,
             method,
             target,
             sent_headers,
@@ -205,8 +172,8 @@
         ]
         if events_received:
             headers.append((names.LAST_EVENT_ID, str(events_received)))
-        return await self.client.send(
-            sampler.address, "POST", item.path, headers, item.body, timeout_ms
+        return await self._send(
+            sampler, "POST", item.path, headers, item.body, timeout_ms
         )
 
     async def call_reward(
@@ -222,8 +189,8 @@
             (names.DEADLINE_MS, str(deadline_ms)),
             (names.EXPECT_INSTANCE, sampler.name),
         ]
-        return await self.client.send(
-            sampler.address,
+        return await self._send(
+            sampler,
             "POST",
             reward.path,
             headers,
@@ -287,6 +254,38 @@
                 response.close()
         return None
 
+    async def _send(
+        self,
+        sampler: state.Sampler,
+        method: str,
+        target: str,
+        headers: abc.Iterable[tuple[str, str]],
+        body: bytes | http.BodyStream = b"",
+        timeout_ms: int = CALL_TIMEOUT_MS,
+        new_connection: bool = False,
+    ) -> Outcome:
+        """Send a request, and take note of a limit that the response names.
+
+        A misdirected request was answered by another upstream.
+        """
+        sent = await self.client.send(
+            sampler.address,
+            method,
+            target,
+            headers,
+            body,
+            timeout_ms,
+            new_connection,
+        )
+        match sent:
+            case result.Success(response) if response.status != MISDIRECTED:
+                self.observer.on_response(
+                    sampler,
+                    limits.named_limit(response),
+                    response.headers.get(names.REQUEST_ID, ""),
+                )
+        return sent
+
 
 async def discard(response: http_client.UpstreamResponse) -> None:
     """Read the rest of a response, so that its connection can be reused.
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -96,6 +96,11 @@
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
 from poplarloft.state.upstream import UpstreamStatus
+from poplarloft.state.upstream_limits import LimitNotice
+from poplarloft.state.upstream_limits import LimitReport
+from poplarloft.state.upstream_limits import NamedLimit
+from poplarloft.state.upstream_limits import PermitAnswer
+from poplarloft.state.upstream_limits import PermitRequest
 from poplarloft.state.usage import UsageDispute
 from poplarloft.state.usage import UsageEntry
 from poplarloft.state.usage import UsageSegment
@@ -146,6 +151,8 @@
     "LeavingUpdate",
     "Ledger",
     "LedgerId",
+    "LimitNotice",
+    "LimitReport",
     "LoadReport",
     "Location",
     "Lot",
@@ -160,11 +167,14 @@
     "MemberStatus",
     "Metrics",
     "MonotonicClock",
-    "OwnerBody",
+    "NamedLimit",
     "OrderHolder",
+    "OwnerBody",
     "Page",
     "PathRoute",
     "PeerRecord",
+    "PermitAnswer",
+    "PermitRequest",
     "Ping",
     "Pong",
     "Proposal",
--- /dev/null
+++ b/poplarloft/state/upstream_limits.py
@@ -0,0 +1,124 @@
+"""Request rates that upstreams limit themselves to, and permits for them.
+
+An upstream names the rate in its responses; it holds for the requests of
+all instances together. An issuer is an instance that hands out permits for
+the requests to an upstream.
+"""
+
+import dataclasses
+
+from poplarloft.state import identity
+
+__all__ = [
+    "LimitNotice",
+    "LimitReport",
+    "NamedLimit",
+    "PermitAnswer",
+    "PermitRequest",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """What one response of an upstream says about its limit.
+
+    Parameters
+    ----------
+    rate_per_s : float or None
+        Requests per second, finite and not negative; None if the response
+        names no limit.
+    error : str
+        Why the value cannot be used, which then says nothing about the
+        limit; empty if it is valid or absent.
+    """
+
+    rate_per_s: float | None
+    error: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitReport:
+    """An instance's knowledge of the limit of one run of an upstream.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    born_ms : int
+        Unix time at which that run of it started.
+    rate_per_s : float or None
+        Requests per second of all instances; None if the upstream has
+        stopped naming a limit.
+    age_ms : int
+        Time since the response that told it arrived.
+    heard_by : str
+        Name of the instance that got that response.
+    """
+
+    upstream: str
+    born_ms: int
+    rate_per_s: float | None
+    age_ms: int
+    heard_by: str
+
+    @property
+    def engine_id(self) -> tuple[str, int]:
+        """Name and start time, which identify one run of the upstream."""
+        return self.upstream, self.born_ms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """Limits that have changed, sent to other instances."""
+
+    reports: tuple[LimitReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Request to an issuer for a permit to send one request.
+
+    Parameters
+    ----------
+    ticket : int
+        Identifies the request among those of its sender.
+    address : identity.Address
+        Address to which the answer is sent.
+    report : LimitReport
+        The limit as the sender knows it.
+    is_deputy : bool
+        Whether the issuer is asked because the upstream's first issuer
+        does not answer.
+    priority : int
+        Scheduling priority; 0 is the most urgent.
+    max_wait_ms : int
+        Time after which a permit is of no use.
+    """
+
+    ticket: int
+    address: identity.Address
+    report: LimitReport
+    is_deputy: bool
+    priority: int
+    max_wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitAnswer:
+    """Answer to a `PermitRequest`, of which it repeats the ticket.
+
+    Parameters
+    ----------
+    is_granted : bool
+        Whether one request may be sent, after `wait_ms`.
+    wait_ms : int
+        Time until the request may be sent, or, if it may not, until asking
+        again is worthwhile.
+    report : LimitReport
+        The limit as the issuer knows it.
+    """
+
+    ticket: int
+    is_granted: bool
+    wait_ms: int
+    report: LimitReport
--- a/poplarloft/transport/metrics_page.py
+++ b/poplarloft/transport/metrics_page.py
@@ -10,6 +10,8 @@
     "poplarloft_duration_ms": "Durations by kind of event and class",
     "poplarloft_log_lines_omitted_total": "Lines left out by kind",
     "poplarloft_log_lines_dropped": "Lines that were not read in time",
+    "poplarloft_upstream_limit_per_s": "Rates that upstreams have named",
+    "poplarloft_upstream_permits_total": "Permits by upstream and outcome",
 }
 
 
@@ -43,6 +45,19 @@
             registry=self.registry,
         )
 
+        self.limits = prometheus_client.Gauge(
+            "poplarloft_upstream_limit_per_s",
+            METRIC_NAMES["poplarloft_upstream_limit_per_s"],
+            ["upstream"],
+            registry=self.registry,
+        )
+        self.permits = prometheus_client.Counter(
+            "poplarloft_upstream_permits",
+            METRIC_NAMES["poplarloft_upstream_permits_total"],
+            ["upstream", "outcome"],
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
