--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import time
 import typing
 
@@ -10,6 +11,7 @@
 from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import http_server
+from standins import rate_check
 
 __all__ = ["SamplerStandin"]
 
@@ -48,6 +50,10 @@
         Whether orders with an older fencing token are refused.
     order_times : list of float
         Monotonic time at which each order was accepted, in seconds.
+    rate : rate_check.RateCheck
+        The limit that responses to requests name, and whether it is kept.
+    limit_headers : tuple of (str, str)
+        Headers that are sent instead of those of `rate`, if not empty.
     """
 
     def __init__(
@@ -67,6 +73,8 @@
         self.order_times: list[float] = []
         self.checks_fence = True
         self.fence = 0
+        self.rate = rate_check.RateCheck()
+        self.limit_headers: http.Headers = ()
         self.breaks_after: int | None = None
         self.failing = 0
         self.resets = 0
@@ -118,9 +126,14 @@
             return self._report()
         if request.path == "/poplarloft/order":
             return self._order(msgspec.json.decode(request.body))
+        self.rate.on_request(request.headers.get("x-request-id", ""))
+        limit = self.limit_headers or self.rate.headers()
         if self.running >= self.slots:
-            return http.HttpResponse(503, (("X-Not-Run", "1"),))
-        return await self._run(request)
+            return http.HttpResponse(503, (("X-Not-Run", "1"), *limit))
+        response = await self._run(request)
+        return dataclasses.replace(
+            response, headers=(*response.headers, *limit)
+        )
 
     async def _run(self, request: http.HttpRequest) -> http.HttpResponse:
         request_id = request.headers.get("x-request-id", "")
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -111,8 +111,9 @@
     """A store, two engines, two services and any number of daemons.
 
     With `uses_change_feed`, entry daemons read store changes from each
-    other. With `order_turn_ms`, engines check no fencing tokens. Both must
-    be set before `start`.
+    other. With `order_turn_ms`, engines check no fencing tokens. With
+    `has_members`, daemons register in the store and list each other. All
+    must be set before `start`.
     """
 
     def __init__(self):
@@ -125,6 +126,7 @@
         self.uses_change_feed = False
         self.change_bound_ms = CHANGE_BOUND_MS
         self.order_turn_ms = None
+        self.has_members = False
 
     async def start(self, entries=1, bulks=1):
         """Start stand-ins and daemons; return when entry daemons are ready."""
@@ -251,8 +253,10 @@
                 "--listen=127.0.0.1:0",
                 "--ready-listen=127.0.0.1:0",
             ]
-        if role == "bulk" or self.uses_change_feed:
+        if role == "bulk" or self.uses_change_feed or self.has_members:
             arguments.append("--peer-listen=127.0.0.1:0")
+        if self.has_members:
+            arguments.append("--relay-listen=127.0.0.1:0")
         if self.order_turn_ms is not None:
             arguments += [
                 "--engines-check-fence=false",
