Keep requests within the limits that upstreams name

Callers saw nothing of it, but upstreams in need got 12 to 18 requests in 4 s where 11 are allowed: each instance sent as its own balancer decided, and the sum of what they sent had no bound (the leader alone sent engines up to 24 in 4 s, entries that each stayed below the bound exceeded it together).

Every upstream with a limit now has an issuer among the daemons, by rendezvous hash, which schedules the requests of all instances one after the other at 0.9 of the limit and tells each asker its time at once. Where it does not answer, a deputy schedules at 0.3, so that both together stay within the bound while some instances reach the one and some the other. News of limits travels with the permits and by notices from the issuer. Upstreams without a limit need no permit and no message.

Requests prefer siblings without a limit; where there is none they wait for a permit while they can still be served, else they are refused as not run, with the Retry-After that the schedule gives. Items wait in their plan.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -25,6 +25,10 @@
 from poplarloft.coordination.serving.outputs import EventOrderError
 from poplarloft.coordination.serving.outputs import ItemOutput
 from poplarloft.coordination.serving.outputs import Stage
+from poplarloft.coordination.serving.permits import Permit
+from poplarloft.coordination.serving.permits import PermitIssuer
+from poplarloft.coordination.serving.permits import PermitNeed
+from poplarloft.coordination.serving.permits import rank_issuers
 from poplarloft.coordination.serving.planning import Planner
 from poplarloft.coordination.serving.planning import StartItem
 from poplarloft.coordination.serving.prefix_history import PrefixHistory
@@ -54,6 +58,9 @@
     "LotPlan",
     "OrderLock",
     "OrderRules",
+    "Permit",
+    "PermitIssuer",
+    "PermitNeed",
     "Planner",
     "PrefixHistory",
     "ReadBatch",
@@ -66,4 +73,5 @@
     "WeightLoadPlanner",
     "WriteBatch",
     "WriteHolder",
+    "rank_issuers",
 ]
--- a/poplarloft/coordination/serving/engine_view.py
+++ b/poplarloft/coordination/serving/engine_view.py
@@ -17,6 +17,9 @@
 INITIAL_BACKOFF_MS = 500
 MAX_BACKOFF_MS = 4_000
 LOSS_GROUPING_MS = 300
+PERMIT_QUEUE_S = 0.25  # permits of that time are asked for at once
+MAX_PERMIT_WAIT_S = 10
+MS_PER_S = 1_000
 EngineId = tuple[str, int]
 
 
@@ -46,6 +49,13 @@
         Time of the last one counted.
     backoff_until_ms : int
         Time before which no item is started here.
+    limit_per_s : float or None
+        Requests per second that it takes from all instances, if it has
+        named a limit.
+    awaiting_permit : set of int
+        Ids of the runs that wait for a permit.
+    limited_until_ms : int
+        Time before which no permit can be had.
     """
 
     sampler: state.Sampler
@@ -58,6 +68,9 @@
     losses: int = 0
     last_loss_at_ms: int = -LOSS_GROUPING_MS
     backoff_until_ms: int = 0
+    limit_per_s: float | None = None
+    awaiting_permit: set[int] = dataclasses.field(default_factory=set)
+    limited_until_ms: int = 0
 
     def has_free_slot(self) -> bool:
         """Return whether a slot is free."""
@@ -74,7 +87,23 @@
             return False
         if self.losses and self.running:
             return False
-        return self.has_free_slot()
+        return self.has_free_slot() and not self.is_at_limit(now_ms)
+
+    def is_at_limit(self, now_ms: int) -> bool:
+        """Return whether no further item should wait for a permit here."""
+        if self.limit_per_s is None:
+            return False
+        most = max(1, int(self.limit_per_s * PERMIT_QUEUE_S))
+        return (
+            now_ms < self.limited_until_ms or len(self.awaiting_permit) >= most
+        )
+
+    def permit_wait_ms(self) -> float:
+        """Return the time that one more item may wait for a permit."""
+        if self.limit_per_s is None:
+            return 0.0
+        rate_per_s = max(self.limit_per_s, 1 / MAX_PERMIT_WAIT_S)
+        return MS_PER_S * (len(self.awaiting_permit) + 1) / rate_per_s
 
     def on_connection_lost(self, now_ms: int) -> None:
         """Record a run whose connection failed or was lost.
--- /dev/null
+++ b/poplarloft/coordination/serving/permits.py
@@ -0,0 +1,177 @@
+"""Permits for requests to upstreams that have named a limit.
+
+The issuer of an upstream schedules one request after another at a little
+under the rate that the upstream has named, and gives each asker the time of
+the next one. Every instance computes the issuers of an upstream from the
+list of members: the first one, and a deputy that is asked where the first
+one does not answer. Both together stay within the bound, so it also holds
+while some instances reach the one and some the other.
+"""
+
+from collections import abc
+import dataclasses
+
+import xxhash
+
+from poplarloft import state
+
+__all__ = ["Permit", "PermitIssuer", "PermitNeed", "rank_issuers"]
+
+EngineId = tuple[str, int]
+MS_PER_S = 1_000
+# Shares of the rate. Their sum leaves room for requests that arrive later
+# than they were scheduled.
+FIRST_SHARE = 0.9
+DEPUTY_SHARE = 0.3
+MIN_RATE_PER_S = 0.05  # shows whether a very low limit still holds
+MAX_BACKLOG_MS = 2_000  # for the most urgent priority
+PRIORITIES = 10
+ISSUER_COUNT = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitNeed:
+    """A request that may need a permit.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the request, item or score.
+    priority : int
+        Scheduling priority; 0 is the most urgent.
+    max_wait_ms : int
+        Longest time that the request can wait and still be served.
+    """
+
+    request_id: str
+    priority: int
+    max_wait_ms: int
+
+    def without_wait(self) -> "PermitNeed":
+        """Return the same request if it does not want to wait."""
+        return dataclasses.replace(self, max_wait_ms=0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Decision on one request to a limited upstream.
+
+    Parameters
+    ----------
+    is_granted : bool
+        Whether it may be sent, after `wait_ms`.
+    wait_ms : int
+        Time until it may be sent, or until the next request may be.
+    """
+
+    is_granted: bool
+    wait_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Schedule:
+    """When the next request to an upstream may be sent, at which rate."""
+
+    next_at_ms: float
+    rate_per_s: float
+
+    def change_rate(self, rate_per_s: float, now_ms: int) -> None:
+        """Follow a limit that was named since.
+
+        The next request need not wait an interval of the earlier limit,
+        but only for those that are scheduled already.
+        """
+        self.rate_per_s = rate_per_s
+        self.next_at_ms = min(self.next_at_ms, now_ms + MAX_BACKLOG_MS)
+
+
+class PermitIssuer:
+    """Schedules the requests of all instances to limited upstreams.
+
+    A schedule starts one interval after it is first asked for, since an
+    issuer that has just started does not know what it issued before.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Clock that also advances while the machine is suspended.
+    """
+
+    def __init__(self, clock: state.Clock) -> None:
+        self.clock = clock
+        self.schedules: dict[tuple[EngineId, bool], _Schedule] = {}
+
+    def decide(
+        self, request: state.PermitRequest, rate_per_s: float
+    ) -> Permit:
+        """Schedule a request, unless it would have to wait too long.
+
+        The more urgent a request, the longer a backlog it may join, so that
+        the less urgent ones give way first.
+
+        Parameters
+        ----------
+        request : state.PermitRequest
+            What is asked for.
+        rate_per_s : float
+            Requests per second that the upstream takes from all instances.
+        """
+        now_ms = self.clock.now_ms()
+        interval_ms = _interval_ms(rate_per_s, request.is_deputy)
+        key = request.report.engine_id, request.is_deputy
+        schedule = self.schedules.get(key)
+        if schedule is None:
+            schedule = _Schedule(now_ms + interval_ms, rate_per_s)
+            self.schedules[key] = schedule
+        elif schedule.rate_per_s != rate_per_s:
+            schedule.change_rate(rate_per_s, now_ms)
+        at_ms = max(float(now_ms), schedule.next_at_ms)
+        wait_ms = int(at_ms - now_ms)
+        longest_ms = min(request.max_wait_ms, _backlog_ms(request.priority))
+        if wait_ms > longest_ms:
+            return Permit(False, wait_ms)
+        schedule.next_at_ms = at_ms + interval_ms
+        return Permit(True, wait_ms)
+
+    def keep_only(self, engine_ids: abc.Container[EngineId]) -> None:
+        """Forget the schedules of upstreams that are no longer announced."""
+        gone = [key for key in self.schedules if key[0] not in engine_ids]
+        for key in gone:
+            del self.schedules[key]
+
+
+def rank_issuers(
+    engine_id: EngineId, members: abc.Mapping[str, state.PeerRecord]
+) -> list[str]:
+    """Return the issuers of an upstream, first and deputy, by rendezvous.
+
+    Parameters
+    ----------
+    engine_id : tuple of (str, int)
+        The run of the upstream.
+    members : mapping of str to state.PeerRecord
+        All instances. Those that offer to issue permits are preferred.
+    """
+    reachable = [
+        name for name, row in members.items() if row.peers is not None
+    ]
+    offering = [name for name in reachable if members[name].issues_permits]
+    upstream, born_ms = engine_id
+
+    def weight(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{name}/{upstream}/{born_ms}".encode())
+
+    ranked = sorted(offering or reachable, key=weight, reverse=True)
+    return ranked[:ISSUER_COUNT]
+
+
+def _interval_ms(rate_per_s: float, is_deputy: bool) -> float:
+    """Return the time between two requests that one issuer schedules."""
+    share = DEPUTY_SHARE if is_deputy else FIRST_SHARE
+    return MS_PER_S / (share * max(rate_per_s, MIN_RATE_PER_S))
+
+
+def _backlog_ms(priority: int) -> int:
+    """Return how far ahead requests of a priority are scheduled."""
+    rank = min(max(priority, 0), PRIORITIES - 1)
+    return MAX_BACKLOG_MS * (PRIORITIES - rank) // PRIORITIES
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -32,6 +32,10 @@
     run_id: int
 
 
+def _unlimited(engine_id: engine_view.EngineId) -> float | None:
+    return None
+
+
 class Planner:
     """Assign waiting items to free slots of engines.
 
@@ -44,6 +48,8 @@
         Monotonic clock.
     is_near : callable
         Return whether a data centre is in this instance's region.
+    rate_of : callable
+        Return the limit that an engine has named, or None.
 
     Attributes
     ----------
@@ -60,9 +66,13 @@
         self,
         clock: state.Clock,
         is_near: abc.Callable[[str], bool],
+        rate_of: abc.Callable[
+            [engine_view.EngineId], float | None
+        ] = _unlimited,
     ) -> None:
         self.clock = clock
         self.is_near = is_near
+        self.rate_of = rate_of
         self.lots: dict[str, lot_plan.LotPlan] = {}
         self.engines: dict[engine_view.EngineId, engine_view.EngineView] = {}
         self.reusable: dict[str, outputs.ItemOutput] = {}
@@ -159,6 +169,8 @@
             else:
                 view.sampler = sampler
         self.usable = set(available)
+        for engine_id, view in self.engines.items():
+            view.limit_per_s = self.rate_of(engine_id)
 
     def next_starts(self) -> list[StartItem]:
         """Return the items to start now, most urgent first."""
@@ -180,6 +192,8 @@
             output.stage = outputs.Stage.RUNNING
             run_id = next(self.run_ids)
             view.running.add(run_id)
+            if view.limit_per_s is not None:
+                view.awaiting_permit.add(run_id)
             starts.append(
                 StartItem(plan.lot.id, output.item.id, view.sampler, run_id)
             )
@@ -195,7 +209,9 @@
         others = [
             other.event_interval_ms
             for other in self._candidates(plan)
-            if other is not view and other.has_interval
+            if other is not view
+            and other.has_interval
+            and other.limit_per_s is None
         ]
         if not others or not view.has_interval:
             return False
@@ -281,6 +297,7 @@
         share = len(view.running) / max(1, view.sampler.slots)
         # 20 % more if as many outputs run as the engine has slots
         cost_ms *= 1 + 0.2 * share
+        cost_ms += view.permit_wait_ms()
         if not self.is_near(view.sampler.data_centre):
             cost_ms += OTHER_REGION_COST_MS
         if now_ms - view.failed_at_ms < engine_view.FAILED_ENGINE_MS:
--- a/poplarloft/coordination/serving/registry.py
+++ b/poplarloft/coordination/serving/registry.py
@@ -85,6 +85,11 @@
             if sampler.service == service and not sampler.is_leaving
         ]
 
+    def engine_ids(self) -> set[tuple[str, int]]:
+        """Return the runs of all upstreams that are known."""
+        expired = [entry.sampler for entry in self.expired.values()]
+        return {s.engine_id for s in (*self.known.values(), *expired)}
+
     def is_current(self, sampler: state.Sampler) -> bool:
         """Return whether this incarnation of an upstream is still known."""
         known = self.known.get(sampler.name)
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -23,12 +23,19 @@
 class ServingBase:
     """Base class of the entry and the bulk daemon.
 
+    Attributes
+    ----------
+    issues_permits : bool
+        Whether daemons of the role offer to issue permits.
+
     Parameters
     ----------
     settings : serving_settings.ServingSettings
         Validated settings.
     """
 
+    issues_permits = False
+
     def __init__(self, settings: serving_settings.ServingSettings) -> None:
         self.settings = settings
         self.clock = state.MonotonicClock()
@@ -42,10 +49,15 @@
             serving.AccessPathSelector(self.clock, self.rng),
         )
         self.relay = store_relay.CallRelay(
-            self.client, self.store, settings.name
+            self.client, self.store, settings.name, self.issues_permits
         )
         self.peers = peer_link.PeerLink()
-        self.limits = upstream_limits.UpstreamLimits(settings.name)
+        self.limits = upstream_limits.UpstreamLimits(
+            settings.name,
+            self.peers,
+            lambda: self.relay.members,
+            None not in (settings.relay_listen, settings.peer_listen),
+        )
         self.regions = settings.region_by_data_centre()
 
     def apply(self, settings: serving_settings.ServingSettings) -> list[str]:
@@ -62,6 +74,8 @@
 
     async def start_relay(self) -> None:
         """Start relaying store calls of peers if `relay_listen` is set."""
+        if self.settings.peer_listen is not None:
+            self.relay.peers_address = self.peers.address
         if self.settings.relay_listen is not None:
             await self.relay.start(
                 addresses.parse_address(self.settings.relay_listen),
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -37,6 +37,8 @@
         Validated settings.
     """
 
+    issues_permits = True
+
     def __init__(self, settings: serving_settings.ServingSettings) -> None:
         super().__init__(settings)
         self.standby_link = standby.StandbyLink(
@@ -51,6 +53,9 @@
         )
         self.views = store_views.StoreViews.make(self.clock)
         self.views.operator.listeners.append(self._confirm_retirements)
+        self.views.samplers.listeners.append(
+            lambda: self.limits.follow(self.views.samplers.registry)
+        )
         self.peers.on(state.LotAccepted, self._on_lot_accepted)
         self.peers.on(state.LotEnded, self._on_lot_ended)
         self.orders = serving.OrderLock(
@@ -118,6 +123,7 @@
             int(self.settings.lot_kept_s * MS_PER_S),
             self.views,
             self.orders,
+            self.limits,
             checkpoints,
         )
 
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -53,6 +53,7 @@
             samplers.SamplerClient(self.client, self.limits),
             self.make_balancer(),
             self.rng,
+            self.limits,
         )
         self.lot_service = lot_service.LotService(
             self.clock,
@@ -67,6 +68,9 @@
         self.request_server = self._make_server(self.handle)
         self.readiness_server = self._make_server(self.answer_readiness)
         self.operator.listeners.append(self._apply_limits)
+        self.samplers.listeners.append(
+            lambda: self.limits.follow(self.samplers.registry)
+        )
 
     async def start(self) -> None:
         """Start following the store and open the listeners."""
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -9,6 +9,7 @@
 
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon.serving import view
 from poplarloft.platform import ingress
 from poplarloft.platform import samplers
@@ -23,6 +24,7 @@
 MIN_ATTEMPT_MS = 20
 RESPONSE_MARGIN_MS = 20  # the refusal must reach the client in time
 SERVER_ERROR = 500
+SERVICE_SHARE = 3  # a third of the time left is kept for the upstream
 MAX_BUFFERED_BYTES = 262_144  # larger responses are streamed to the client
 FailureKind = retries.FailureKind
 
@@ -34,6 +36,7 @@
     names: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
     detail: str = "no upstream is available"
+    limited_for_ms: int | None = None  # until an upstream takes a request
 
     @property
     def verdict(self) -> state.Verdict:
@@ -58,6 +61,8 @@
         Chooses among the upstreams of a service.
     rng : random.Random
         Chooses among the services of a split route.
+    limits : upstream_limits.UpstreamLimits
+        Permits for upstreams that have named a limit.
     """
 
     def __init__(
@@ -67,12 +72,14 @@
         client: samplers.SamplerClient,
         balancer: serving.LeastExpectedTime,
         rng: random.Random,
+        limits: upstream_limits.UpstreamLimits,
     ) -> None:
         self.clock = clock
         self.sampler_view = sampler_view
         self.client = client
         self.balancer = balancer
         self.rng = rng
+        self.limits = limits
 
     async def handle(
         self, call: ingress.ForwardedCall, route: state.PathRoute
@@ -88,10 +95,17 @@
             if remaining_ms < MIN_ATTEMPT_MS:
                 history.detail = f"no time left after {history.detail}"
                 break
-            sampler = self._choose_sampler(service, history)
+            need = serving.PermitNeed(
+                call.id,
+                route.priority,
+                remaining_ms - remaining_ms // SERVICE_SHARE,
+            )
+            sampler = await self._choose_sampler(service, history, need)
             if sampler is None:
                 break
             history.names.append(sampler.name)
+            # Less time is left after a wait for a permit.
+            remaining_ms = max(1, deadline_ms - self.clock.now_ms())
             response = await self._attempt(
                 call, route, sampler, remaining_ms, history
             )
@@ -119,13 +133,28 @@
             return route.targets[0].service
         return self.rng.choices(route.targets, weights)[0].service
 
-    def _choose_sampler(
-        self, service: str, history: _AttemptHistory
+    async def _choose_sampler(
+        self,
+        service: str,
+        history: _AttemptHistory,
+        need: serving.PermitNeed,
     ) -> state.Sampler | None:
+        """Return an upstream that may get the request, preferably a new one.
+
+        Waits for a permit if all upstreams are limited.
+        """
         available = self.sampler_view.registry.of_service(service)
-        return self.balancer.choose(
-            available, history.names
-        ) or self.balancer.choose(available, ())
+        for excluded in (history.names, ()):
+            match await self.limits.choose(
+                self.balancer, available, excluded, need
+            ):
+                case result.Success(sampler):
+                    return sampler
+                case result.Failure(int() as wait_ms):
+                    history.limited_for_ms = wait_ms
+                    history.detail = "all upstreams are at their limits"
+                    return None
+        return None
 
     async def _attempt(
         self,
@@ -251,6 +280,8 @@
             reason = state.Reason.DEADLINE
         if not history.names:
             reason = state.Reason.NO_UPSTREAM
+        if history.limited_for_ms is not None and not history.may_have_run:
+            reason = state.Reason.UPSTREAM_LIMITED
         eliot.log_message(
             "request-refused",
             request=call.id,
@@ -260,7 +291,9 @@
             tried=history.names,
             detail=history.detail,
         )
-        retry_ms = RETRY_AFTER_MS if not history.may_have_run else None
+        retry_ms = None
+        if not history.may_have_run:
+            retry_ms = max(RETRY_AFTER_MS, history.limited_for_ms or 0)
         return ingress.refusal_response(
             state.Refusal(reason, history.verdict, history.detail, retry_ms)
         )
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon import tasks
 from poplarloft.platform import event_stream
 from poplarloft.platform import samplers
@@ -21,6 +22,7 @@
 STALL_INTERVALS = 10
 MAX_EVENT_MS = 2_000  # between events, even if single bytes keep arriving
 RETRY_MS = 100
+PERMIT_WAIT_MS = 1_000
 UNPROCESSABLE = 422
 OK = 200
 
@@ -77,26 +79,28 @@
 
     Parameters
     ----------
-    clock, wall_clock : state.Clock
-        Monotonic clock, and wall clock.
+    clock : state.Clock
+        Monotonic clock.
     client : samplers.SamplerClient
         Connections to engines.
     planner : serving.Planner
         Holds the plans of lots and the state of engines.
     task_set : tasks.TaskSet
         Runs the generation tasks.
+    limits : upstream_limits.UpstreamLimits
+        Permits for engines that have named a limit.
     """
 
     def __init__(
         self,
         clock: state.Clock,
-        wall_clock: state.Clock,
         client: samplers.SamplerClient,
         planner: serving.Planner,
         task_set: tasks.TaskSet,
+        limits: upstream_limits.UpstreamLimits,
     ) -> None:
         self.clock = clock
-        self.wall_clock = wall_clock
+        self.limits = limits
         self.client = client
         self.planner = planner
         self.task_set = task_set
@@ -157,6 +161,7 @@
             self._on_stopped(run, _Stopped(outcome))
         finally:
             view.running.discard(run.run_id)
+            view.awaiting_permit.discard(run.run_id)
             if self.runs.get(output.item.id) is run:
                 del self.runs[output.item.id]
             if output.stage is serving.Stage.RUNNING:
@@ -192,6 +197,7 @@
     async def _generate(self, run: _Run) -> None:
         """Generate the rest of an output, or raise `_Stopped`."""
         output, plan = run.output, run.plan
+        await self._await_permit(run)
         left_ms = (
             plan.accepted_at_ms + plan.route.item_ttl_ms - self.clock.now_ms()
         )
@@ -216,6 +222,22 @@
                     is_connection_lost=True,
                 )
 
+    async def _await_permit(self, run: _Run) -> None:
+        """Wait until the engine may get the run, or raise `_Stopped`."""
+        view = run.view
+        need = serving.PermitNeed(
+            run.output.item.id, run.plan.route.priority, PERMIT_WAIT_MS
+        )
+        try:
+            acquired = await self.limits.acquire(view.sampler, need)
+        finally:
+            view.awaiting_permit.discard(run.run_id)
+        match acquired:
+            case result.Failure(wait_ms):
+                pause_ms = min(wait_ms, PERMIT_WAIT_MS)
+                view.limited_until_ms = self.clock.now_ms() + pause_ms
+                raise _Stopped("no permit", is_engine_fault=False)
+
     async def _process_response(
         self, run: _Run, response: http_client.UpstreamResponse
     ) -> None:
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/lot_scheduler.py
@@ -12,6 +12,7 @@
 from poplarloft.daemon.serving import result_writer
 from poplarloft.daemon.serving import rewards
 from poplarloft.daemon.serving import store_views
+from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon.serving import weights
 from poplarloft.daemon import tasks
 from poplarloft.platform import samplers
@@ -57,6 +58,8 @@
         Views of the store: configuration, upstreams and open lots.
     orders : serving.OrderLock
         Whether orders may be sent to engines at the moment.
+    limits : upstream_limits.UpstreamLimits
+        Permits for upstreams that have named a limit.
     checkpoints : serving.CheckpointCollector or None
         Checkpoints received from the previous leader. If None, they are
         read from the store.
@@ -75,6 +78,7 @@
         retention_ms: int,
         views: store_views.StoreViews,
         orders: serving.OrderLock,
+        limits: upstream_limits.UpstreamLimits,
         checkpoints: serving.CheckpointCollector | None = None,
     ) -> None:
         self.clock = clock
@@ -88,7 +92,7 @@
         self.sampler_view = views.samplers
         self.lots_view = views.lots
         self.checkpoints = checkpoints
-        self.planner = serving.Planner(clock, is_near)
+        self.planner = serving.Planner(clock, is_near, limits.rate_of)
         self.checkpoint_store = checkpoint_store.CheckpointStore(
             clock, store, lambda: self.fence, self.unrecorded_outputs
         )
@@ -98,9 +102,10 @@
             self.sampler_view,
             sampler_client,
             balancer,
+            limits,
         )
         self.generator = generation.OutputGenerator(
-            clock, wall_clock, sampler_client, self.planner, self.task_set
+            clock, sampler_client, self.planner, self.task_set, limits
         )
         self.generator.on_complete = self._on_complete
         self.generator.on_failed = self._on_result
--- /dev/null
+++ b/poplarloft/daemon/serving/permit_link.py
@@ -0,0 +1,233 @@
+"""Exchanges limits and permits with other instances."""
+
+import asyncio
+from collections import abc
+import itertools
+
+import eliot
+
+from poplarloft.coordination import serving
+from poplarloft.daemon.serving import peer_link
+from poplarloft import state
+
+__all__ = ["PermitLink"]
+
+ANSWER_TIMEOUT_MS = 400
+SUSPECT_MS = 2_000  # an issuer that did not answer is not asked meanwhile
+NOTICE_DELAY_MS = 100  # changes of that time share a message
+# A message is not queued before the connection to its receiver exists.
+CONNECT_RETRY_MS = 20
+CONNECT_RETRIES = 20
+MS_PER_S = 1_000
+EngineId = tuple[str, int]
+
+
+class PermitLink:
+    """Asks issuers for permits, and issues those of this instance.
+
+    Parameters
+    ----------
+    clock : state.Clock
+        Clock that also advances while the machine is suspended.
+    name : str
+        Name of this instance.
+    peers : peer_link.PeerLink
+        Messages from and to other instances.
+    members : callable
+        Return the instances by name, empty until they are known.
+    table : serving.LimitTable
+        The known limits, which messages update.
+    """
+
+    def __init__(
+        self,
+        clock: state.Clock,
+        name: str,
+        peers: peer_link.PeerLink,
+        members: abc.Callable[[], abc.Mapping[str, state.PeerRecord]],
+        table: serving.LimitTable,
+    ) -> None:
+        self.clock = clock
+        self.name = name
+        self.peers = peers
+        self.members = members
+        self.table = table
+        self.issuer = serving.PermitIssuer(clock)
+        self.tickets = itertools.count(1)
+        self.pending: dict[int, asyncio.Future[state.PermitAnswer]] = {}
+        self.suspected_until_ms: dict[str, int] = {}
+        self.changed: set[EngineId] = set()
+        peers.on(state.PermitRequest, self._on_request)
+        peers.on(state.PermitAnswer, self._on_answer)
+        peers.on(state.LimitNotice, self._on_notice)
+
+    def on_change(self, engine_id: EngineId, request_id: str = "") -> None:
+        """Log a limit that has changed, and tell others of it."""
+        known = self.table.report_of(engine_id)
+        if known is None:
+            return
+        shared_with = self._recipients(engine_id)
+        eliot.log_message(
+            "limit-ended" if known.rate_per_s is None else "limit-named",
+            upstream=known.upstream,
+            born_ms=known.born_ms,
+            rate_per_s=known.rate_per_s,
+            heard_by=known.heard_by,
+            age_ms=known.age_ms,
+            request=request_id,
+            shared_with=len(shared_with),
+        )
+        if not shared_with:
+            return
+        if not self.changed:
+            asyncio.get_running_loop().call_later(
+                NOTICE_DELAY_MS / MS_PER_S, self._send_notices
+            )
+        self.changed.add(engine_id)
+
+    async def ask(
+        self, engine_id: EngineId, need: serving.PermitNeed
+    ) -> serving.Permit | None:
+        """Return the decision of the first issuer that answers, if any."""
+        members = self.members()
+        ranked = serving.rank_issuers(engine_id, members)
+        for rank, issuer in enumerate(ranked):
+            is_deputy = rank > 0
+            if issuer == self.name:
+                return self.decide_here(engine_id, need, is_deputy)
+            if self.clock.now_ms() < self.suspected_until_ms.get(issuer, 0):
+                continue
+            address = members[issuer].peers
+            report = self.table.report_of(engine_id)
+            if address is None or report is None:
+                return None
+            answer = await self._exchange(
+                address,
+                self._request(report, need, is_deputy),
+            )
+            if answer is not None:
+                return serving.Permit(answer.is_granted, answer.wait_ms)
+            until_ms = self.clock.now_ms() + SUSPECT_MS
+            self.suspected_until_ms[issuer] = until_ms
+            eliot.log_message(
+                "permit-issuer-lost", issuer=issuer, upstream=engine_id[0]
+            )
+        return None
+
+    def decide_here(
+        self, engine_id: EngineId, need: serving.PermitNeed, is_deputy: bool
+    ) -> serving.Permit:
+        """Return this instance's own decision as an issuer."""
+        report = self.table.report_of(engine_id)
+        if report is None or report.rate_per_s is None:
+            return serving.Permit(True, 0)
+        request = self._request(report, need, is_deputy)
+        return self.issuer.decide(request, report.rate_per_s)
+
+    def _request(
+        self,
+        report: state.LimitReport,
+        need: serving.PermitNeed,
+        is_deputy: bool,
+    ) -> state.PermitRequest:
+        return state.PermitRequest(
+            next(self.tickets),
+            self.peers.address,
+            report,
+            is_deputy,
+            need.priority,
+            need.max_wait_ms,
+        )
+
+    async def _exchange(
+        self, address: state.Address, request: state.PermitRequest
+    ) -> state.PermitAnswer | None:
+        """Send a request to an issuer; return its answer if one comes."""
+        future = asyncio.get_running_loop().create_future()
+        self.pending[request.ticket] = future
+        self._send(address, request)
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_MS / MS_PER_S):
+                answer: state.PermitAnswer = await future
+        except TimeoutError:
+            return None
+        finally:
+            del self.pending[request.ticket]
+        self._apply(answer.report)
+        return answer
+
+    def _on_request(self, request: state.PermitRequest) -> None:
+        """Answer another instance's request for a permit."""
+        self._apply(request.report)
+        known = self.table.report_of(request.report.engine_id)
+        if known is None or known.rate_per_s is None:
+            permit = serving.Permit(True, 0)
+        else:
+            permit = self.issuer.decide(request, known.rate_per_s)
+        answer = state.PermitAnswer(
+            request.ticket,
+            permit.is_granted,
+            permit.wait_ms,
+            known or request.report,
+        )
+        self._send(request.address, answer)
+
+    def _on_answer(self, answer: state.PermitAnswer) -> None:
+        future = self.pending.get(answer.ticket)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _on_notice(self, notice: state.LimitNotice) -> None:
+        for report in notice.reports:
+            self._apply(report)
+
+    def _apply(self, report: state.LimitReport) -> None:
+        if self.table.on_report(report):
+            self.on_change(report.engine_id)
+
+    def _recipients(self, engine_id: EngineId) -> list[state.Address]:
+        """Return whom this instance tells of a changed limit.
+
+        An instance tells the issuers of the upstream, and the first of
+        these tells everyone.
+        """
+        members = self.members()
+        issuers = serving.rank_issuers(engine_id, members)
+        names: abc.Iterable[str] = issuers
+        if issuers and issuers[0] == self.name:
+            names = members
+        return [
+            address
+            for name in names
+            if name != self.name
+            and (address := members[name].peers) is not None
+        ]
+
+    def _send_notices(self) -> None:
+        reports: dict[state.Address, list[state.LimitReport]] = {}
+        for engine_id in self.changed:
+            known = self.table.report_of(engine_id)
+            if known is None:
+                continue
+            for address in self._recipients(engine_id):
+                reports.setdefault(address, []).append(known)
+        self.changed.clear()
+        for address, known_reports in reports.items():
+            self._send(address, state.LimitNotice(tuple(known_reports)))
+
+    def _send(
+        self,
+        address: state.Address,
+        message: state.ServingMessage,
+        retries: int = CONNECT_RETRIES,
+    ) -> None:
+        """Send a message, which may have to wait for a connection."""
+        if self.peers.send(address, message) or not retries:
+            return
+        asyncio.get_running_loop().call_later(
+            CONNECT_RETRY_MS / MS_PER_S,
+            self._send,
+            address,
+            message,
+            retries - 1,
+        )
--- a/poplarloft/daemon/serving/rewards.py
+++ b/poplarloft/daemon/serving/rewards.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon.serving import view
 from poplarloft.platform import samplers
 from poplarloft import state
@@ -15,6 +16,7 @@
 
 CALL_TIMEOUT_MS = 2_500
 RETRY_MS = 100
+PERMIT_WAIT_MS = 1_000
 MAX_SCORE_BYTES = 1_048_576
 RESERVED_SLOTS = 1  # per upstream, for requests of clients
 MS_PER_S = 1_000
@@ -35,6 +37,8 @@
         Connections to the upstreams.
     balancer : serving.LeastExpectedTime
         Chooses among the upstreams that have a free slot.
+    limits : upstream_limits.UpstreamLimits
+        Permits for upstreams that have named a limit.
     """
 
     def __init__(
@@ -44,12 +48,14 @@
         sampler_view: view.SamplerView,
         client: samplers.SamplerClient,
         balancer: serving.LeastExpectedTime,
+        limits: upstream_limits.UpstreamLimits,
     ) -> None:
         self.clock = clock
         self.operator_view = operator_view
         self.sampler_view = sampler_view
         self.client = client
         self.balancer = balancer
+        self.limits = limits
         self.slot_freed = asyncio.Event()
 
     async def score(self, output: serving.ItemOutput) -> None:
@@ -66,7 +72,7 @@
         while output.stage is serving.Stage.COMPLETE:
             route = self._route(reward)
             if route is not None:
-                sampler = await self._acquire(route)
+                sampler = await self._acquire(route, reward)
                 await self._call(output, reward, route, sampler)
             if output.stage is serving.Stage.COMPLETE:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
@@ -77,8 +83,11 @@
             return None
         return configuration.find_route(reward.host, reward.path)
 
-    async def _acquire(self, route: state.PathRoute) -> state.Sampler:
+    async def _acquire(
+        self, route: state.PathRoute, reward: state.RewardCall
+    ) -> state.Sampler:
         """Wait for an upstream with a free slot and return it."""
+        need = serving.PermitNeed(reward.id, route.priority, PERMIT_WAIT_MS)
         while True:
             service = route.targets[0].service
             announced = self.sampler_view.registry.of_service(service)
@@ -88,15 +97,25 @@
                 if self.balancer.load_of(sampler).in_flight
                 < max(1, sampler.slots - RESERVED_SLOTS)
             ]
-            chosen = self.balancer.choose(candidates, ())
-            if chosen is not None:
-                return chosen
-            self.slot_freed.clear()
-            try:
-                async with asyncio.timeout(RETRY_MS / MS_PER_S):
-                    await self.slot_freed.wait()
-            except TimeoutError:
-                pass
+            match await self.limits.choose(
+                self.balancer, candidates, (), need
+            ):
+                case result.Success(chosen):
+                    return chosen
+                case result.Failure(int() as wait_ms):
+                    pause_ms = min(max(RETRY_MS, wait_ms), PERMIT_WAIT_MS)
+                    await asyncio.sleep(pause_ms / MS_PER_S)
+                case _:
+                    await self._wait_for_slot()
+
+    async def _wait_for_slot(self) -> None:
+        """Wait until a call has ended, but at most `RETRY_MS`."""
+        self.slot_freed.clear()
+        try:
+            async with asyncio.timeout(RETRY_MS / MS_PER_S):
+                await self.slot_freed.wait()
+        except TimeoutError:
+            pass
 
     async def _call(
         self,
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -199,6 +199,13 @@
         Stores the addresses of all daemons.
     name : str
         Name of this daemon.
+    issues_permits : bool
+        Whether this daemon offers to issue permits.
+
+    Attributes
+    ----------
+    peers_address : state.Address or None
+        Address at which this daemon gets messages, if it does.
     """
 
     def __init__(
@@ -206,10 +213,13 @@
         client: http_client.HttpClient,
         store: RelayedStore,
         name: str,
+        issues_permits: bool,
     ) -> None:
         self.client = client
         self.store = store
         self.name = name
+        self.issues_permits = issues_permits
+        self.peers_address: state.Address | None = None
         self.feed: feed_link.FeedLink | None = None
         self.members: dict[str, state.PeerRecord] = {}
         self.relayed_calls = 0
@@ -267,7 +277,12 @@
         put = state.Put(
             lot_records.member_key(self.name),
             serving_messages.encode_member(
-                state.PeerRecord(listen_address, feed)
+                state.PeerRecord(
+                    listen_address,
+                    feed,
+                    self.peers_address,
+                    self.issues_permits,
+                )
             ),
         )
         while True:
--- a/poplarloft/platform/limits.py
+++ b/poplarloft/platform/limits.py
@@ -11,7 +11,7 @@
 
 MAX_RATE_PER_S = 1_000_000.0  # higher rates count as this one
 MAX_TEXT = 32
-DECIMAL = re.compile(r"\d+(\.\d*)?([eE][+-]?\d+)?|\.\d+([eE][+-]?\d+)?")
+DECIMAL = re.compile(r"([0-9]+\.?[0-9]*|\.[0-9]+)([eE][+-]?[0-9]+)?")
 ABSENT = state.NamedLimit(None)
 
 
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -31,6 +31,9 @@
     state.LotEnded,
     state.Ping,
     state.Pong,
+    state.LimitNotice,
+    state.PermitRequest,
+    state.PermitAnswer,
 ]
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _DECODERS = [
--- a/poplarloft/state/feeds.py
+++ b/poplarloft/state/feeds.py
@@ -27,10 +27,17 @@
     feed : identity.Address or None
         Answers requests for changes of the store; None if the daemon
         does not.
+    peers : identity.Address or None
+        Receives other messages; None if the daemon has no such address.
+    issues_permits : bool
+        Whether the daemon offers to schedule the requests to upstreams
+        that have named a limit.
     """
 
     relay: identity.Address
     feed: identity.Address | None = None
+    peers: identity.Address | None = None
+    issues_permits: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarloft/state/serving_messages.py
+++ b/poplarloft/state/serving_messages.py
@@ -2,6 +2,7 @@
 
 from poplarloft.state import feeds
 from poplarloft.state import standby
+from poplarloft.state import upstream_limits
 
 __all__ = ["ServingMessage"]
 
@@ -16,4 +17,7 @@
     | standby.LotEnded
     | standby.Ping
     | standby.Pong
+    | upstream_limits.LimitNotice
+    | upstream_limits.PermitRequest
+    | upstream_limits.PermitAnswer
 )
--- a/poplarloft/state/verdict.py
+++ b/poplarloft/state/verdict.py
@@ -30,6 +30,7 @@
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_FAILED = "upstream-failed"
+    UPSTREAM_LIMITED = "upstream-limited"
     RETRY_BUDGET = "retry-budget"
     CLAIM_HELD = "claim-held"
     CLAIM_EXPIRED = "claim-expired"
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -135,6 +135,8 @@
 
         Returns whether it was queued.
         """
+        if self.context.closed:
+            return False
         sender = self.senders.get((address, is_bulk))
         if sender is None:
             sender = self._connect(address, server_key)
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -74,3 +74,83 @@
     results = await fleet.read_all("lot", timeout_s=60)
     assert exceeded(fleet) == []
     assert {row["state"] for row in results} == {"completed"}
+
+
+async def test_siblings_with_room_take_what_a_limited_upstream_cannot(fleet):
+    fleet.services[0].rate.set_limit(0.5)
+    responses = await call_for(fleet, 3)
+    assert {status for status, _, _ in responses} == {200}
+    assert len(fleet.services[0].runs) < 10
+    assert exceeded(fleet) == []
+
+
+async def test_requests_beyond_all_limits_are_refused_as_not_run(fleet):
+    for service in fleet.services:
+        service.rate.set_limit(0.5)
+    responses = await call_for(fleet, 3)
+    refused = [headers for status, headers, _ in responses if status == 503]
+    assert refused
+    assert all(float(headers["retry-after"]) > 0 for headers in refused)
+    runs = sum(len(service.runs) for service in fleet.services)
+    assert runs == len(responses) - len(refused)
+
+
+async def test_a_limit_ends_with_the_first_response_without_it(fleet):
+    for service in fleet.services:
+        service.rate.set_limit(1.0)
+    await call_for(fleet, 2)
+    for service in fleet.services:
+        service.rate.set_limit(None)
+    await call_for(fleet, 3)
+    responses = await call_for(fleet, 1)
+    assert {status for status, _, _ in responses} == {200}
+
+
+async def test_all_instances_learn_of_a_limit_from_one_response(fleet):
+    fleet.services[0].rate.set_limit(7.0)
+    engine_id = (fleet.services[0].name, 1)
+    entry = fleet.entries[0]
+    while entry.limits.rate_of(engine_id) is None:
+        await call(fleet, 0)
+    daemons = (*fleet.entries, *fleet.bulks)
+    await serving_fleet.eventually(
+        lambda: all(d.limits.rate_of(engine_id) == 7.0 for d in daemons)
+    )
+
+
+async def test_the_deputy_issues_permits_when_the_first_issuer_is_gone(fleet):
+    for service in fleet.services:
+        service.rate.set_limit(3.0)
+    await call_for(fleet, 2)
+    await fleet.kill(fleet.bulks[1])
+    await call_for(fleet, 1)
+    responses = await call_for(fleet, 4)
+    assert sum(status == 200 for status, _, _ in responses) >= 4
+    assert exceeded(fleet) == []
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (("Server-Limit", "-1"),),
+        (("Server-Limit", "nan"),),
+        (("Server-Limit", "soon"),),
+        (("Server-Limit", "1"), ("Server-Limit", "2")),
+    ],
+)
+async def test_an_unreadable_limit_is_no_limit(fleet, headers):
+    for service in fleet.services:
+        service.limit_headers = headers
+    responses = await call_for(fleet, 0.5)
+    assert {status for status, _, _ in responses} == {200}
+    assert fleet.entries[0].limits.table.known == {}
+
+
+async def test_a_limit_of_a_megabyte_fails_the_request_only(fleet):
+    for service in fleet.services:
+        service.limit_headers = (("Server-Limit", "1" * 1_000_000),)
+    status, _, _ = await call(fleet, 0)
+    assert status == 502
+    for service in fleet.services:
+        service.limit_headers = ()
+    assert (await call(fleet, 1))[0] == 200
