Lose no line before an error text in a stream

Callers whose engine broke off with an error text missed the tokens right before it: of the lines that arrived in one piece, those before the first unreadable one counted as relayed, but were dropped with it, and the next engine went on behind them. Lines are relayed one by one, as they are counted. The new test of the resumer failed before ([[2]] for [[1], [2]]).

--- a/poplarloft/daemon/resuming.py
+++ b/poplarloft/daemon/resuming.py
@@ -93,7 +93,7 @@
                 async for lines in streams.complete_lines(body):
                     for line in lines:
                         progress.on_line(line)
-                    yield b"".join(lines)
+                        yield line
             except (http_client.TruncatedResponseError, msgspec.MsgspecError):
                 pass
             finally:
--- a/poplarloft/daemon/tests/test_resuming.py
+++ b/poplarloft/daemon/tests/test_resuming.py
@@ -47,6 +47,17 @@
     )
 
 
+def upstream():
+    return state.Upstream(
+        "engine-0",
+        1,
+        state.UpstreamKind.ENGINE,
+        "engines",
+        state.Address("127.0.0.1", 1),
+        state.Location("z", "r"),
+    )
+
+
 async def test_each_engine_that_failed_is_excluded_and_no_stream_is_left():
     streams, excluded = [Stream(0)], []
 
@@ -57,18 +68,10 @@
         return result.Success(resuming.ResumedStream(name, streams[-1].body()))
 
     resumer = resuming.StreamResumer(send)
-    upstream = state.Upstream(
-        "engine-0",
-        1,
-        state.UpstreamKind.ENGINE,
-        "engines",
-        state.Address("127.0.0.1", 1),
-        state.Location("z", "r"),
-    )
     received = []
     with pytest.raises(http_client.TruncatedResponseError, match="3 times"):
         async for lines in resumer.relay_stream(
-            make_call(), upstream, streams[0].body()
+            make_call(), upstream(), streams[0].body()
         ):
             received.append(lines)
     assert len(received) == 1 + resuming.MAX_RESUMES
@@ -78,3 +81,29 @@
     ]
     assert len(streams) == 1 + resuming.MAX_RESUMES
     assert all(stream.is_closed for stream in streams)
+
+
+async def test_a_line_before_an_error_text_is_neither_lost_nor_repeated():
+    async def first():
+        row = {"tokens": [1], "weight_version": 1}
+        yield json.dumps(row).encode() + b"\nHTTP/1.1 500 Error\r\n\r\n"
+
+    async def second():
+        row = {"tokens": [2], "weight_version": 1, "done": True}
+        yield json.dumps(row).encode() + b"\n"
+
+    asked = []
+
+    async def send(call, failed, version):
+        asked.append(json.loads(call.request.body)["resume_from"])
+        return result.Success(resuming.ResumedStream("engine-1", second()))
+
+    relayed = [
+        line
+        async for lines in resuming.StreamResumer(send).relay_stream(
+            make_call(), upstream(), first()
+        )
+        for line in lines.splitlines()
+    ]
+    assert [json.loads(line)["tokens"] for line in relayed] == [[1], [2]]
+    assert asked == [[1]]
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -44,6 +44,16 @@
                     "service": "app",
                     "max_attempts": attempts,
                 },
+                {
+                    "name": "stream",
+                    "host": HOST,
+                    "prefix": "/s/",
+                    "kind": "stream",
+                    "timeout_ms": target_ms,
+                    "slo_ms": 300,
+                    "service": "app",
+                    "max_attempts": attempts,
+                },
                 {
                     "name": "lots",
                     "host": HOST,
