Pass an engine's error through where a stream was due

Callers of a completion stream whose engine answered with an error got that status and a body that was cut, or a stream of another engine under it: the error's body went through the resumer, which takes each line that it can't read for an interruption. Only a response with status 200 is resumed. The new test failed before: (500, None) for the whole text.

--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -18,6 +18,7 @@
 
 __all__ = ["Dispatcher", "Outcome"]
 
+OK = 200
 SERVICE_UNAVAILABLE = 503
 MAX_RESPONSE_BYTES = 33_554_432  # a streamed response has no limit
 CRASH_CHECK_TIMEOUT_MS = 300
@@ -168,7 +169,8 @@
                 self.health.on_success(name)
                 if not isinstance(body, bytes):
                     watched = self._watch_stream(body, upstream, finish)
-                    if self.resumer.can_resume(call, upstream):
+                    is_ok = response.status == OK
+                    if is_ok and self.resumer.can_resume(call, upstream):
                         watched = self.resumer.relay_stream(
                             call, upstream, watched
                         )
--- a/poplarloft/daemon/tests/test_upstream_failures.py
+++ b/poplarloft/daemon/tests/test_upstream_failures.py
@@ -6,6 +6,7 @@
 
 import pytest_asyncio
 
+from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import http_client
 from standins import engine
@@ -241,3 +242,22 @@
     assert leaving.upstream.name not in names
     assert leaving.runs.total() == 0
     client.close()
+
+
+async def test_an_error_instead_of_a_stream_reaches_the_client_whole(
+    small_platform,
+):
+    text = b"out of memory\nat line two\n"
+
+    async def fail(request):
+        return http.HttpResponse(500, (), text)
+
+    for server in small_platform.engines:
+        server.handle = fail
+    answer = await complete_prompt(
+        http_client.HttpClient(),
+        small_platform.nodes[0],
+        "/r/stream/v1/completions",
+        "a question",
+    )
+    assert answer == (500, text)
