Free the slot of a run that is cancelled unbegun

An item whose run was cancelled in the same turn of the loop in which it was started stayed marked as running and kept its engine's slot for good, so that it was never placed again although engines had room: the task's clean-up stood in its body, which never began. It is a callback of the task now.

It was found by reading, after the report of items that were never placed again after a burst of crashes.

--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -123,6 +123,8 @@
         run = _Run(output, plan, engine, start.run_id)
         self.runs[start.item_id] = run
         run.task = self.task_set.spawn(self._run(run))
+        # A task that is cancelled before it begins runs no clean-up.
+        run.task.add_done_callback(lambda _: self._on_run_ended(run))
 
     def reassign(
         self, output: serving.ItemOutput, plan: serving.LotPlan
@@ -160,12 +162,7 @@
             self._count_error(run)
             self._on_stopped(run, _Stopped(outcome))
         finally:
-            view.running.discard(run.run_id)
-            view.awaiting_permit.discard(run.run_id)
-            if self.runs.get(output.item.id) is run:
-                del self.runs[output.item.id]
-            if output.stage is serving.Stage.RUNNING:
-                output.stage = serving.Stage.WAITING
+            self._release(run)
             eliot.log_message(
                 "item-run",
                 item=output.item.id,
@@ -178,12 +175,30 @@
                 duration_ms=self.clock.now_ms() - started_ms,
                 outcome=outcome,
             )
-            self.on_end()
         if output.stage is serving.Stage.COMPLETE:
             self.on_complete(output)
         elif output.stage is serving.Stage.FAILED:
             self.on_failed(output)
 
+    def _on_run_ended(self, run: _Run) -> None:
+        self._release(run)
+        self.on_end()
+
+    def _release(self, run: _Run) -> None:
+        """Free the slot of a run that has ended, and its item if waiting.
+
+        The item may be in another run by then.
+        """
+        output = run.output
+        run.view.running.discard(run.run_id)
+        run.view.awaiting_permit.discard(run.run_id)
+        if self.runs.get(output.item.id) is run:
+            del self.runs[output.item.id]
+        if output.item.id in self.runs:
+            return
+        if output.stage is serving.Stage.RUNNING:
+            output.stage = serving.Stage.WAITING
+
     def _on_stopped(self, run: _Run, stopped: _Stopped) -> None:
         output = run.output
         output.avoided_engine = run.view.sampler.name
--- a/tests/test_serving_lots.py
+++ b/tests/test_serving_lots.py
@@ -259,3 +259,15 @@
     assert await fleet.submit("lot-a", serving_fleet.lot_body(4)) == 202
     check_complete(await fleet.read_all("lot-a", timeout_s=30), 4, 10)
     assert fleet.engines[0].runs
+
+
+async def test_an_item_under_which_engines_crash_again_and_again_completes(
+    fleet,
+):
+    await fleet.start()
+    for engine in fleet.engines:
+        engine.resets = 6
+    assert await fleet.submit("lot", serving_fleet.lot_body(1)) == 202
+    (row,) = await fleet.read_all("lot", timeout_s=40)
+    assert row["state"] == "completed"
+    assert sum(engine.runs.count("item-0") for engine in fleet.engines) > 6
