Let upstreams name limits in the soak

One upstream after the other names a limit of 0.5 to 5 requests a second for some seconds, from random numbers of their own, so that known seeds keep their other faults. What arrives is checked with the bound, from 4 s after a sender was started, ended or stopped.

--- a/poplarloft_soak/checks.py
+++ b/poplarloft_soak/checks.py
@@ -28,6 +28,8 @@
         found += _check_lot(lot, runs)
         found += _check_end(lot, world)
     found += _check_orders(world)
+    for upstream in world.upstreams():
+        found += [f"{upstream.name}: {x}" for x in upstream.rate.exceeded]
     found += _check_recovery(callers, healed_at_s)
     found += [
         f"{daemon.name} exited without being stopped"
--- a/poplarloft_soak/faults.py
+++ b/poplarloft_soak/faults.py
@@ -16,6 +16,7 @@
 MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.5
 RESTART_DELAY_S = 0.4
+LIMITS_PER_S = (0.5, 1.0, 2.0, 5.0)
 Fault = abc.Callable[[], abc.Awaitable[None]]
 
 
@@ -33,6 +34,8 @@
     def __init__(self, world: worlds.World, seed: int) -> None:
         self.world = world
         self.rng = random.Random(seed)
+        # limits have their own, so that known seeds keep their faults
+        self.limit_rng = random.Random(f"limits {seed}")
         self.injected: list[tuple[float, str]] = []
         self.kinds: dict[str, Fault] = {
             "daemon-killed": self._kill_daemon,
@@ -60,7 +63,8 @@
         """Inject faults for `seconds`, then end those that still last."""
         end_s = time.monotonic() + seconds
         await asyncio.gather(
-            *(self._run_series(end_s) for _ in range(CONCURRENT_SERIES))
+            self._limit_upstreams(end_s),
+            *(self._run_series(end_s) for _ in range(CONCURRENT_SERIES)),
         )
         self.heal()
 
@@ -69,6 +73,8 @@
         self.world.store.is_down = False
         self.world.store.lost_writes = 0
         self.world.store.late_writes = 0
+        for upstream in self.world.upstreams():
+            upstream.rate.set_limit(None)
         for link in self.world.links.values():
             link.set_faults(proxy.LinkFaults())
         for daemon in self.world.daemons:
@@ -85,6 +91,17 @@
     async def _sleep(self, least: float, most: float) -> None:
         await asyncio.sleep(self.rng.uniform(least, most))
 
+    async def _limit_upstreams(self, end_s: float) -> None:
+        """Let one upstream after the other name a limit."""
+        while time.monotonic() < end_s:
+            upstream = self.limit_rng.choice(self.world.upstreams())
+            upstream.rate.set_limit(self.limit_rng.choice(LIMITS_PER_S))
+            self.world.excuse_senders()
+            self.injected.append((time.monotonic(), "upstream-limited"))
+            await asyncio.sleep(self.limit_rng.uniform(4.0, 12.0))
+            upstream.rate.set_limit(None)
+            await asyncio.sleep(self.limit_rng.uniform(0.0, 4.0))
+
     def _choose_daemon(self) -> processes.DaemonProcess:
         return self.rng.choice(self.world.daemons)
 
@@ -93,11 +110,13 @@
 
     async def _kill_daemon(self) -> None:
         daemon = self._choose_daemon()
+        self.world.excuse_senders()
         daemon.send(signal.SIGKILL)
         await asyncio.sleep(RESTART_DELAY_S)
         daemon.start()
 
     async def _kill_all_daemons(self) -> None:
+        self.world.excuse_senders()
         for daemon in self.world.daemons:
             daemon.send(signal.SIGKILL)
         await asyncio.sleep(RESTART_DELAY_S)
@@ -106,18 +125,21 @@
 
     async def _terminate_daemon(self) -> None:
         daemon = self._choose_daemon()
+        self.world.excuse_senders()
         daemon.send(signal.SIGTERM)
         for _ in range(80):
             if not daemon.is_running:
                 break
             await asyncio.sleep(0.1)
         daemon.end()
+        self.world.excuse_senders()
         daemon.start()
 
     async def _pause_daemon(self) -> None:
         daemon = self._choose_daemon()
         daemon.send(signal.SIGSTOP)
         await self._sleep(0.3, 3.5)
+        self.world.excuse_senders()
         daemon.send(signal.SIGCONT)
 
     async def _reload_daemon(self) -> None:
--- a/poplarloft_soak/world.py
+++ b/poplarloft_soak/world.py
@@ -18,6 +18,7 @@
 MS_PER_S = 1_000
 ENGINE_EVENT_MS = 12.0
 EXPIRY_DELAY_S = 1.0
+SENDER_SETTLING_S = 4.0
 
 
 class World:
@@ -130,6 +131,15 @@
         value = json.dumps({"model": MODEL, "version": self.weight_version})
         await self.store.put(f"op/version/{MODEL}", value.encode())
 
+    def upstreams(self) -> list[sampler.SamplerStandin]:
+        """Return the stand-ins of engines and plain services."""
+        return [*self.engines, *self.services]
+
+    def excuse_senders(self) -> None:
+        """Let limits settle, since a sender is started, ended or stopped."""
+        for upstream in self.upstreams():
+            upstream.rate.settle(SENDER_SETTLING_S)
+
     def entries(self) -> list[processes.DaemonProcess]:
         """Return the daemons with the role `entry`, which serve clients."""
         return [d for d in self.daemons if d.role == "entry"]
--- a/standins/rate_check.py
+++ b/standins/rate_check.py
@@ -38,6 +38,17 @@
         self.counted_from_s = time.monotonic() + SETTLING_S
         self.most = 0
 
+    def settle(self, seconds: float) -> None:
+        """Count no request for a while.
+
+        Called when a sender is restarted or stopped, as it may send
+        requests before it learns of the limit again.
+        """
+        self.arrivals.clear()
+        self.counted_from_s = max(
+            self.counted_from_s, time.monotonic() + seconds
+        )
+
     def on_request(self, request_id: str) -> None:
         """Count one request."""
         now_s = time.monotonic()
