Ask few issuers, and none that is known to deny

Where all of many upstreams name limits, one request would have asked the issuer of each of them, and each request again. It asks for three at most now, and a denial, which tells when the next permit can be had at the earliest, also answers the requests after it as long as the limit is the same. The trial of an upstream that other requests pass over is logged as passed-over, so that explain doesn't take it for the request's failure; the lists of such outcomes stood twice and are one.

--- a/poplarloft/coordination/serving/permits.py
+++ b/poplarloft/coordination/serving/permits.py
@@ -41,15 +41,23 @@
         Scheduling priority; 0 is the most urgent.
     max_wait_ms : int
         Longest time that the request can wait and still be served.
+    is_trial : bool
+        Whether it is served elsewhere if it gets no permit.
     """
 
     request_id: str
     priority: int
     max_wait_ms: int
+    is_trial: bool = False
 
-    def without_wait(self) -> "PermitNeed":
-        """Return the same request if it does not want to wait."""
-        return dataclasses.replace(self, max_wait_ms=0)
+    @property
+    def longest_wait_ms(self) -> int:
+        """Longest wait for which an issuer may schedule the request."""
+        return longest_wait_ms(self.priority, self.max_wait_ms)
+
+    def as_trial(self) -> "PermitNeed":
+        """Return the same request for a trial, which does not wait."""
+        return dataclasses.replace(self, max_wait_ms=0, is_trial=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,8 +135,7 @@
             schedule.change_rate(rate_per_s, now_ms)
         at_ms = max(float(now_ms), schedule.next_at_ms)
         wait_ms = int(at_ms - now_ms)
-        longest_ms = min(request.max_wait_ms, _backlog_ms(request.priority))
-        if wait_ms > longest_ms:
+        if wait_ms > longest_wait_ms(request.priority, request.max_wait_ms):
             return Permit(False, wait_ms)
         schedule.next_at_ms = at_ms + interval_ms
         return Permit(True, wait_ms)
@@ -171,7 +178,8 @@
     return MS_PER_S / (share * max(rate_per_s, MIN_RATE_PER_S))
 
 
-def _backlog_ms(priority: int) -> int:
-    """Return how far ahead requests of a priority are scheduled."""
+def longest_wait_ms(priority: int, max_wait_ms: int) -> int:
+    """Return how far ahead a request is scheduled at most, by its urgency."""
     rank = min(max(priority, 0), PRIORITIES - 1)
-    return MAX_BACKLOG_MS * (PRIORITIES - rank) // PRIORITIES
+    backlog_ms = MAX_BACKLOG_MS * (PRIORITIES - rank) // PRIORITIES
+    return min(max_wait_ms, backlog_ms)
--- a/poplarloft/daemon/serving/telemetry.py
+++ b/poplarloft/daemon/serving/telemetry.py
@@ -13,6 +13,7 @@
 
 from poplarloft.coordination import log_rate_limit
 from poplarloft.protocol import http
+from poplarloft.protocol import log_events
 from poplarloft import state
 from poplarloft.transport import http_server
 from poplarloft.transport import log_output
@@ -22,16 +23,6 @@
 
 SUMMARY_INTERVAL_MS = 5_000
 MS_PER_S = 1_000
-SUCCESS_OUTCOMES = frozenset(
-    {"", "applied", "whole", "answered", "conflict", "True"}
-)
-FAILURE_SUFFIXES = (
-    "-failed",
-    "-refused",
-    "-malformed",
-    "-lost",
-    "-unreadable",
-)
 
 
 class Telemetry:
@@ -90,11 +81,12 @@
         """Count one event; write its line if the rate limit allows."""
         kind = message.get("message_type", "unnamed")
         outcome = str(message.get("outcome", message.get("reason", "")))
-        is_failure = outcome not in SUCCESS_OUTCOMES or kind.endswith(
-            FAILURE_SUFFIXES
+        is_failure = (
+            outcome not in log_events.SUCCESS_OUTCOMES
+            or kind.endswith(log_events.FAILURE_SUFFIXES)
         )
         # Failure texts are unbounded in number; label values must not be.
-        label = outcome if outcome in SUCCESS_OUTCOMES else "other"
+        label = outcome if outcome in log_events.SUCCESS_OUTCOMES else "other"
         self.page.events.labels(kind, label).inc()
         if "duration_ms" in message:
             request_class = str(message.get("route", ""))
--- /dev/null
+++ b/poplarloft/daemon/serving/tests/test_upstream_limits.py
@@ -0,0 +1,95 @@
+"""Choice among upstreams with and without a limit, on one instance."""
+
+import random
+
+import pytest
+from returns import result
+
+from poplarloft.coordination import serving
+from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving import upstream_limits
+from poplarloft import state
+
+ADDRESS = state.Address("127.0.0.1", 1)
+SAMPLERS = [state.Sampler(f"s{n}", 1, "a", ADDRESS, "z", 4) for n in range(9)]
+NEED = serving.PermitNeed("r", 0, 10)
+
+
+class CountingLimits(upstream_limits.UpstreamLimits):
+    """Counts the questions to the issuer."""
+
+    def __init__(self):
+        super().__init__("a", peer_link.PeerLink(), dict, has_peers=False)
+        self.asked = []
+        decide = self.link.decide_here
+
+        def counted(engine_id, need, is_deputy):
+            self.asked.append(engine_id)
+            return decide(engine_id, need, is_deputy)
+
+        self.link.decide_here = counted
+
+
+@pytest.fixture
+def limits():
+    return CountingLimits()
+
+
+@pytest.fixture
+def balancer():
+    clock = state.MonotonicClock()
+    return serving.LeastExpectedTime(clock, random.Random(0), lambda _: 0.0)
+
+
+def limit(limits, samplers, rate_per_s):
+    for sampler in samplers:
+        limits.on_response(sampler, state.NamedLimit(rate_per_s), "r")
+
+
+async def test_without_limits_nobody_is_asked(limits, balancer):
+    chosen = await limits.choose(balancer, SAMPLERS, ["s0"], NEED)
+    assert chosen.unwrap().name != "s0"
+    assert limits.asked == []
+
+
+async def test_an_upstream_without_a_limit_goes_first(limits, balancer):
+    limit(limits, SAMPLERS[1:], 1.0)
+    chosen = await limits.choose(balancer, SAMPLERS, (), NEED)
+    assert chosen == result.Success(SAMPLERS[0])
+
+
+async def test_few_upstreams_are_asked_for_one_request(limits, balancer):
+    limit(limits, SAMPLERS, 0.5)
+    refused = await limits.choose(balancer, SAMPLERS, (), NEED)
+    assert refused.failure() > 1_000
+    assert len(limits.asked) == upstream_limits.MAX_ASKED
+
+
+async def test_a_denial_answers_the_requests_after_it(limits, balancer):
+    limit(limits, SAMPLERS[:1], 0.5)
+    for _ in range(5):
+        await limits.choose(balancer, SAMPLERS[:1], (), NEED)
+    assert len(limits.asked) == 1
+
+
+async def test_a_denial_does_not_outlast_its_limit(limits, balancer):
+    limit(limits, SAMPLERS[:1], 0.0)
+    assert (await limits.acquire(SAMPLERS[0], NEED)).failure() > 20_000
+    report = state.LimitReport("s0", 1, 500.0, 0, "b")
+    limits.clock = limits.table.clock = state.ManualClock(2**50)
+    limits.table.on_report(report)
+    await limits.acquire(SAMPLERS[0], NEED)
+    assert len(limits.asked) == 2
+
+
+async def test_no_upstream_at_all_is_no_wait(limits, balancer):
+    assert await limits.choose(balancer, (), (), NEED) == result.Failure(None)
+
+
+async def test_upstreams_that_are_gone_are_forgotten(limits, balancer):
+    limit(limits, SAMPLERS, 0.5)
+    await limits.choose(balancer, SAMPLERS, (), NEED)
+    limits.follow(serving.SamplerRegistry(state.ManualClock()))
+    assert limits.table.known == {}
+    assert limits.denials == {}
+    assert limits.link.issuer.schedules == {}
--- a/poplarloft/daemon/serving/upstream_limits.py
+++ b/poplarloft/daemon/serving/upstream_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 
 import eliot
 from returns import result
@@ -16,6 +17,7 @@
 # A trial finds out whether a limit still holds although other upstreams of
 # the service have room.
 TRIAL_INTERVAL_MS = 1_000
+MAX_ASKED = 3  # upstreams for which one request asks for a permit
 UNKNOWN_WAIT_MS = 500  # no issuer can be asked at the moment
 MAX_LATENESS_MS = 500  # a later request could meet those scheduled after it
 MS_PER_S = 1_000
@@ -23,6 +25,14 @@
 Acquired = result.Result[None, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Denial:
+    """Time before which no permit is issued at a limit."""
+
+    until_ms: int
+    rate_per_s: float | None
+
+
 class UpstreamLimits:
     """The limits that upstreams name, and the permits that they require.
 
@@ -56,6 +66,7 @@
             self.clock, name, peers, members, self.table
         )
         self.trial_at_ms: dict[tuple[str, int], int] = {}
+        self.denials: dict[tuple[str, int], _Denial] = {}
 
     def on_response(
         self, sampler: state.Sampler, named: state.NamedLimit, request_id: str
@@ -83,9 +94,10 @@
         engine_ids = registry.engine_ids()
         self.table.keep_only(engine_ids)
         self.link.issuer.keep_only(engine_ids)
-        for engine_id in list(self.trial_at_ms):
-            if engine_id not in engine_ids:
-                del self.trial_at_ms[engine_id]
+        for engine_id in set(self.trial_at_ms) - engine_ids:
+            del self.trial_at_ms[engine_id]
+        for engine_id in set(self.denials) - engine_ids:
+            del self.denials[engine_id]
 
     async def choose(
         self,
@@ -145,8 +157,9 @@
             return result.Success(None)
         asked_at_ms = self.clock.now_ms()
         permit = await self._ask(sampler, need)
-        outcome = "granted" if permit.is_granted else "denied"
+        outcome = "passed-over" if need.is_trial else "denied"
         if permit.is_granted:
+            outcome = "granted"
             rate_per_s = self.table.rate_of(engine_id)
             await asyncio.sleep(permit.wait_ms / MS_PER_S)
             due_at_ms = asked_at_ms + permit.wait_ms
@@ -165,8 +178,8 @@
         limited: list[state.Sampler],
         need: serving.PermitNeed,
     ) -> result.Result[state.Sampler, int | None]:
-        waits_ms = []
-        while limited:
+        waits_ms: list[int] = []
+        while limited and len(waits_ms) < MAX_ASKED:
             chosen = balancer.choose(limited, ())
             assert chosen is not None
             limited.remove(chosen)
@@ -191,18 +204,37 @@
             return False
         self.trial_at_ms[engine_id] = now_ms + TRIAL_INTERVAL_MS
         return bool(
-            await self.acquire(limited[0], need.without_wait())
+            await self.acquire(limited[0], need.as_trial())
             == result.Success(None)
         )
 
     async def _ask(
         self, sampler: state.Sampler, need: serving.PermitNeed
     ) -> serving.Permit:
-        """Return the issuer's decision; a denial if none can be asked."""
-        if not self.has_peers:
-            return self.link.decide_here(sampler.engine_id, need, False)
-        permit = await self.link.ask(sampler.engine_id, need)
-        return permit or serving.Permit(False, UNKNOWN_WAIT_MS)
+        """Return the issuer's decision; a denial if none can be asked.
+
+        Permits are issued in order of time, so that a denial also tells
+        when the next one may be had at the earliest.
+        """
+        engine_id = sampler.engine_id
+        now_ms = self.clock.now_ms()
+        rate_per_s = self.table.rate_of(engine_id)
+        denial = self.denials.get(engine_id)
+        if denial is not None and denial.rate_per_s == rate_per_s:
+            wait_ms = denial.until_ms - now_ms
+            if wait_ms > need.longest_wait_ms:
+                return serving.Permit(False, wait_ms)
+        permit: serving.Permit | None
+        if self.has_peers:
+            permit = await self.link.ask(engine_id, need)
+        else:
+            permit = self.link.decide_here(engine_id, need, False)
+        if permit is None:
+            return serving.Permit(False, UNKNOWN_WAIT_MS)
+        if not permit.is_granted:
+            until_ms = now_ms + permit.wait_ms
+            self.denials[engine_id] = _Denial(until_ms, rate_per_s)
+        return permit
 
     def _is_lower_now(
         self, engine_id: tuple[str, int], rate_per_s: float | None
--- a/poplarloft/protocol/log_events.py
+++ b/poplarloft/protocol/log_events.py
@@ -6,10 +6,26 @@
 
 import msgspec
 
-__all__ = ["LoggedEvent", "find_events"]
+__all__ = [
+    "FAILURE_SUFFIXES",
+    "LoggedEvent",
+    "SUCCESS_OUTCOMES",
+    "find_events",
+]
 
 ID_FIELDS = ("request", "item", "lot")
-SUCCESS_OUTCOMES = ("", "applied", "whole", "conflict")
+SUCCESS_OUTCOMES = frozenset(
+    {
+        "",
+        "applied",
+        "whole",
+        "answered",
+        "conflict",
+        "granted",
+        "passed-over",
+        "True",
+    }
+)
 FAILURE_SUFFIXES = (
     "-failed",
     "-refused",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -66,3 +66,14 @@
 def test_unknown_identifier_is_an_error(tmp_path):
     status, _ = explain(tmp_path, "nothing")
     assert status == 1
+
+
+def test_a_permit_that_was_granted_or_not_needed_is_no_failure(tmp_path):
+    permits = [
+        line(n, "a", "permit", request="r9", upstream="u", outcome=outcome)
+        for n, outcome in enumerate(("passed-over", "granted", "denied"))
+    ]
+    LOGS["c.log"] = permits
+    _, rows = explain(tmp_path, "r9")
+    del LOGS["c.log"]
+    assert [row[0] for row in rows] == [" ", " ", ">"]
