--- a/poplarloft_soak/processes.py
+++ b/poplarloft_soak/processes.py
@@ -16,6 +16,7 @@
 DRAIN_NOTICE_MS = 600
 GRACE_S = 6
 HOSTS_PER_NETWORK = 250
+returned_addresses: set[state.Address] = set()
 
 
 def process_host() -> str:
@@ -29,11 +30,18 @@
 
 
 def free_address() -> state.Address:
-    """Return an address with a free port."""
+    """Return an address with a free port that was not returned before.
+
+    The kernel may offer a port again that no daemon listens on yet.
+    """
     host = process_host()
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return state.Address(host, probe.getsockname()[1])
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            address = state.Address(host, probe.getsockname()[1])
+        if address not in returned_addresses:
+            returned_addresses.add(address)
+            return address
 
 
 class DaemonProcess:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 from poplarloft_soak import __main__ as soak
 from poplarloft_soak import checks
 from poplarloft_soak import clients
+from poplarloft_soak import processes
 from poplarloft_soak import world as worlds
 
 # Seeds that ever failed, each with its cause; kept as regression cases.
@@ -92,6 +93,11 @@
         assert words in found
 
 
+def test_no_address_is_handed_out_twice():
+    addresses = [processes.free_address() for _ in range(2_000)]
+    assert len(set(addresses)) == 2_000
+
+
 def test_soak_stays_under_a_tenth_of_the_code():
     root = pathlib.Path(__file__).parent.parent
 
