Limit the time of a trial at a limited upstream

A request that a sibling without a limit could take waited for up to 0.8 s once every two seconds while the issuers of a limited upstream were down: the trial of that upstream waited for their answers. It waits for 100 ms at most. The new test failed before (it waited for its own 5 s).

--- a/poplarloft/daemon/serving/tests/test_upstream_limits.py
+++ b/poplarloft/daemon/serving/tests/test_upstream_limits.py
@@ -1,5 +1,6 @@
 """Choice among upstreams with and without a limit, on one instance."""
 
+import asyncio
 import random
 
 import pytest
@@ -91,3 +92,17 @@
     assert limits.table.known == {}
     assert limits.denials == {}
     assert limits.link.issuer.schedules == {}
+
+
+async def test_a_silent_issuer_delays_no_request_that_a_sibling_can_take(
+    limits, balancer
+):
+    async def never_answer(engine_id, need):
+        await asyncio.Event().wait()
+
+    limits.has_peers = True
+    limits.link.ask = never_answer
+    limit(limits, SAMPLERS[1:], 1.0)
+    async with asyncio.timeout(5):
+        chosen = await limits.choose(balancer, SAMPLERS, (), NEED)
+    assert chosen == result.Success(SAMPLERS[0])
--- a/poplarloft/daemon/serving/upstream_limits.py
+++ b/poplarloft/daemon/serving/upstream_limits.py
@@ -17,6 +17,7 @@
 # A trial finds out whether a limit still holds although other upstreams of
 # the service have room.
 TRIAL_INTERVAL_MS = 1_000
+TRIAL_TIMEOUT_MS = 100  # the sibling takes the request after that
 MAX_ASKED = 3  # upstreams for which one request asks for a permit
 UNKNOWN_WAIT_MS = 500  # no issuer can be asked at the moment
 MAX_LATENESS_MS = 500  # a later request could meet those scheduled after it
@@ -119,12 +120,7 @@
             take a request; None if there is no upstream at all.
         """
         if not self.table.known:
-            found = balancer.choose(available, excluded)
-            return (
-                result.Failure(None)
-                if found is None
-                else result.Success(found)
-            )
+            return _to_result(balancer.choose(available, excluded))
         open_to_all = []
         limited = []
         for sampler in available:
@@ -203,10 +199,12 @@
         if now_ms < self.trial_at_ms.get(engine_id, 0):
             return False
         self.trial_at_ms[engine_id] = now_ms + TRIAL_INTERVAL_MS
-        return bool(
-            await self.acquire(limited[0], need.as_trial())
-            == result.Success(None)
-        )
+        try:
+            async with asyncio.timeout(TRIAL_TIMEOUT_MS / MS_PER_S):
+                acquired = await self.acquire(limited[0], need.as_trial())
+        except TimeoutError:
+            return False
+        return isinstance(acquired, result.Success)
 
     async def _ask(
         self, sampler: state.Sampler, need: serving.PermitNeed
@@ -264,3 +262,9 @@
             heard_by=None if known is None else known.heard_by,
             age_ms=None if known is None else known.age_ms,
         )
+
+
+def _to_result(
+    chosen: state.Sampler | None,
+) -> result.Result[state.Sampler, int | None]:
+    return result.Failure(None) if chosen is None else result.Success(chosen)
