Let scores await a busy upstream, not a limited one

Trainers got scores up to a second late while an upstream without a limit was only busy: its slots were taken, so the limited siblings were asked, and after their denial the call slept for up to a second, although slots are freed in a fraction of that. A limited upstream is only tried then, and the call wakes with the next free slot.

--- a/poplarloft/daemon/serving/rewards.py
+++ b/poplarloft/daemon/serving/rewards.py
@@ -72,7 +72,7 @@
         while output.stage is serving.Stage.COMPLETE:
             route = self._route(reward)
             if route is not None:
-                sampler = await self._acquire(route, reward)
+                sampler = await self.acquire(route, reward)
                 await self._call(output, reward, route, sampler)
             if output.stage is serving.Stage.COMPLETE:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
@@ -83,7 +83,7 @@
             return None
         return configuration.find_route(reward.host, reward.path)
 
-    async def _acquire(
+    async def acquire(
         self, route: state.PathRoute, reward: state.RewardCall
     ) -> state.Sampler:
         """Wait for an upstream with a free slot and return it."""
@@ -97,12 +97,19 @@
                 if self.balancer.load_of(sampler).in_flight
                 < max(1, sampler.slots - RESERVED_SLOTS)
             ]
+            all_limited = all(
+                self.limits.rate_of(sampler.engine_id) is not None
+                for sampler in announced
+            )
             match await self.limits.choose(
-                self.balancer, candidates, (), need
+                self.balancer,
+                candidates,
+                (),
+                need if all_limited else need.as_trial(),
             ):
                 case result.Success(chosen):
                     return chosen
-                case result.Failure(int() as wait_ms):
+                case result.Failure(int() as wait_ms) if all_limited:
                     pause_ms = min(max(RETRY_MS, wait_ms), PERMIT_WAIT_MS)
                     await asyncio.sleep(pause_ms / MS_PER_S)
                 case _:
