Try a sibling again before refusing for a limit

Callers of a repeatable request got 502 where the only upstream without a limit had failed it once and the others were at their limits; before the permits it would have been tried again. The new test failed before (502).

--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -144,16 +144,18 @@
         Waits for a permit if all upstreams are limited.
         """
         available = self.sampler_view.registry.of_service(service)
-        for excluded in (history.names, ()):
+        passes = (history.names, ()) if history.names else ((),)
+        for excluded in passes:
             match await self.limits.choose(
                 self.balancer, available, excluded, need
             ):
                 case result.Success(sampler):
+                    history.limited_for_ms = None
                     return sampler
                 case result.Failure(int() as wait_ms):
                     history.limited_for_ms = wait_ms
-                    history.detail = "all upstreams are at their limits"
-                    return None
+        if history.limited_for_ms is not None:
+            history.detail = "all upstreams are at their limits"
         return None
 
     async def _attempt(
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -154,3 +154,14 @@
     for service in fleet.services:
         service.limit_headers = ()
     assert (await call(fleet, 1))[0] == 200
+
+
+async def test_a_sibling_that_failed_once_is_tried_before_refusing(fleet):
+    fleet.services[0].rate.set_limit(0)
+    engine_id = (fleet.services[0].name, 1)
+    entry = fleet.entries[0]
+    while entry.limits.rate_of(engine_id) is None:
+        await call(fleet, 0)
+    fleet.services[1].failing = 1
+    assert (await call(fleet, 0))[0] == 200
+    assert len(fleet.services[0].runs) <= 2
