End a limit's metric with its upstream

The gauge of an upstream that left while it named a limit stayed for good. limit-ended is logged for it, with by=gone, which removes the gauge.

--- a/poplarloft/coordination/serving/limit_table.py
+++ b/poplarloft/coordination/serving/limit_table.py
@@ -102,11 +102,12 @@
             found.heard_by,
         )
 
-    def keep_only(self, engine_ids: abc.Container[EngineId]) -> None:
-        """Forget the upstreams that are no longer announced."""
+    def keep_only(self, engine_ids: abc.Container[EngineId]) -> list[EngineId]:
+        """Forget the upstreams that are no longer announced; return them."""
         gone = [known for known in self.known if known not in engine_ids]
         for engine_id in gone:
             del self.known[engine_id]
+        return gone
 
     def _replace(self, engine_id: EngineId, limit: KnownLimit) -> bool:
         changed = self.rate_of(engine_id) != limit.rate_per_s
--- a/poplarloft/daemon/serving/upstream_limits.py
+++ b/poplarloft/daemon/serving/upstream_limits.py
@@ -93,7 +93,10 @@
         if not self.table.known and not self.link.issuer.schedules:
             return
         engine_ids = registry.engine_ids()
-        self.table.keep_only(engine_ids)
+        for name, born_ms in self.table.keep_only(engine_ids):
+            eliot.log_message(
+                "limit-ended", upstream=name, born_ms=born_ms, by="gone"
+            )
         self.link.issuer.keep_only(engine_ids)
         for engine_id in set(self.trial_at_ms) - engine_ids:
             del self.trial_at_ms[engine_id]
