Name the identity of an upstream's run once

The new modules each had a name of their own for the pair of name and start time, which the package already calls EngineId. No behaviour changes.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -10,6 +10,7 @@
 from poplarloft.coordination.serving.balancing import LeastExpectedTime
 from poplarloft.coordination.serving.checkpoints import CheckpointCollector
 from poplarloft.coordination.serving.checkpoints import CheckpointPlan
+from poplarloft.coordination.serving.engine_view import EngineId
 from poplarloft.coordination.serving.engine_view import EngineView
 from poplarloft.coordination.serving.failover import FailoverDetector
 from poplarloft.coordination.serving.feeds import FeedReader
@@ -45,6 +46,7 @@
     "CheckpointCollector",
     "CheckpointPlan",
     "DIRECT",
+    "EngineId",
     "EngineView",
     "EventOrderError",
     "FailoverDetector",
--- a/poplarloft/coordination/serving/limit_table.py
+++ b/poplarloft/coordination/serving/limit_table.py
@@ -3,12 +3,11 @@
 from collections import abc
 import dataclasses
 
+from poplarloft.coordination.serving import engine_view
 from poplarloft import state
 
 __all__ = ["KnownLimit", "LimitTable"]
 
-EngineId = tuple[str, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownLimit:
@@ -48,15 +47,15 @@
     def __init__(self, clock: state.Clock, name: str) -> None:
         self.clock = clock
         self.name = name
-        self.known: dict[EngineId, KnownLimit] = {}
+        self.known: dict[engine_view.EngineId, KnownLimit] = {}
 
-    def rate_of(self, engine_id: EngineId) -> float | None:
+    def rate_of(self, engine_id: engine_view.EngineId) -> float | None:
         """Return the limit of an upstream, None if it has none."""
         found = self.known.get(engine_id)
         return None if found is None else found.rate_per_s
 
     def on_response(
-        self, engine_id: EngineId, named: state.NamedLimit
+        self, engine_id: engine_view.EngineId, named: state.NamedLimit
     ) -> bool:
         """Apply what a response says; return whether the limit changed.
 
@@ -90,7 +89,9 @@
             KnownLimit(report.rate_per_s, heard_at_ms, report.heard_by),
         )
 
-    def report_of(self, engine_id: EngineId) -> state.LimitReport | None:
+    def report_of(
+        self, engine_id: engine_view.EngineId
+    ) -> state.LimitReport | None:
         """Return what is known of an upstream, as sent to others."""
         found = self.known.get(engine_id)
         if found is None:
@@ -102,14 +103,18 @@
             found.heard_by,
         )
 
-    def keep_only(self, engine_ids: abc.Container[EngineId]) -> list[EngineId]:
+    def keep_only(
+        self, engine_ids: abc.Container[engine_view.EngineId]
+    ) -> list[engine_view.EngineId]:
         """Forget the upstreams that are no longer announced; return them."""
         gone = [known for known in self.known if known not in engine_ids]
         for engine_id in gone:
             del self.known[engine_id]
         return gone
 
-    def _replace(self, engine_id: EngineId, limit: KnownLimit) -> bool:
+    def _replace(
+        self, engine_id: engine_view.EngineId, limit: KnownLimit
+    ) -> bool:
         changed = self.rate_of(engine_id) != limit.rate_per_s
         self.known[engine_id] = limit
         return changed
--- a/poplarloft/coordination/serving/permits.py
+++ b/poplarloft/coordination/serving/permits.py
@@ -13,11 +13,11 @@
 
 import xxhash
 
+from poplarloft.coordination.serving import engine_view
 from poplarloft import state
 
 __all__ = ["Permit", "PermitIssuer", "PermitNeed", "rank_issuers"]
 
-EngineId = tuple[str, int]
 MS_PER_S = 1_000
 # Shares of the rate. Their sum leaves room for requests that arrive later
 # than they were scheduled.
@@ -107,7 +107,7 @@
 
     def __init__(self, clock: state.Clock) -> None:
         self.clock = clock
-        self.schedules: dict[tuple[EngineId, bool], _Schedule] = {}
+        self.schedules: dict[tuple[engine_view.EngineId, bool], _Schedule] = {}
 
     def decide(
         self, request: state.PermitRequest, rate_per_s: float
@@ -140,7 +140,9 @@
         schedule.next_at_ms = at_ms + interval_ms
         return Permit(True, wait_ms)
 
-    def keep_only(self, engine_ids: abc.Container[EngineId]) -> None:
+    def keep_only(
+        self, engine_ids: abc.Container[engine_view.EngineId]
+    ) -> None:
         """Forget the schedules of upstreams that are no longer announced."""
         gone = [key for key in self.schedules if key[0] not in engine_ids]
         for key in gone:
@@ -148,7 +150,8 @@
 
 
 def rank_issuers(
-    engine_id: EngineId, members: abc.Mapping[str, state.PeerRecord]
+    engine_id: engine_view.EngineId,
+    members: abc.Mapping[str, state.PeerRecord],
 ) -> list[str]:
     """Return the issuers of an upstream, first and deputy, by rendezvous.
 
--- a/poplarloft/daemon/serving/permit_link.py
+++ b/poplarloft/daemon/serving/permit_link.py
@@ -10,7 +10,7 @@
 from poplarloft.daemon.serving import peer_link
 from poplarloft import state
 
-__all__ = ["PermitLink"]
+__all__ = ["Members", "PermitLink"]
 
 ANSWER_TIMEOUT_MS = 400
 SUSPECT_MS = 2_000  # an issuer that did not answer is not asked meanwhile
@@ -19,7 +19,7 @@
 CONNECT_RETRY_MS = 20
 CONNECT_RETRIES = 20
 MS_PER_S = 1_000
-EngineId = tuple[str, int]
+Members = abc.Callable[[], abc.Mapping[str, state.PeerRecord]]
 
 
 class PermitLink:
@@ -44,7 +44,7 @@
         clock: state.Clock,
         name: str,
         peers: peer_link.PeerLink,
-        members: abc.Callable[[], abc.Mapping[str, state.PeerRecord]],
+        members: Members,
         table: serving.LimitTable,
     ) -> None:
         self.clock = clock
@@ -56,12 +56,14 @@
         self.tickets = itertools.count(1)
         self.pending: dict[int, asyncio.Future[state.PermitAnswer]] = {}
         self.suspected_until_ms: dict[str, int] = {}
-        self.changed: set[EngineId] = set()
+        self.changed: set[serving.EngineId] = set()
         peers.on(state.PermitRequest, self._on_request)
         peers.on(state.PermitAnswer, self._on_answer)
         peers.on(state.LimitNotice, self._on_notice)
 
-    def on_change(self, engine_id: EngineId, request_id: str = "") -> None:
+    def on_change(
+        self, engine_id: serving.EngineId, request_id: str = ""
+    ) -> None:
         """Log a limit that has changed, and tell others of it."""
         known = self.table.report_of(engine_id)
         if known is None:
@@ -86,7 +88,7 @@
         self.changed.add(engine_id)
 
     async def ask(
-        self, engine_id: EngineId, need: serving.PermitNeed
+        self, engine_id: serving.EngineId, need: serving.PermitNeed
     ) -> serving.Permit | None:
         """Return the decision of the first issuer that answers, if any."""
         members = self.members()
@@ -115,7 +117,10 @@
         return None
 
     def decide_here(
-        self, engine_id: EngineId, need: serving.PermitNeed, is_deputy: bool
+        self,
+        engine_id: serving.EngineId,
+        need: serving.PermitNeed,
+        is_deputy: bool,
     ) -> serving.Permit:
         """Return this instance's own decision as an issuer."""
         report = self.table.report_of(engine_id)
@@ -185,7 +190,7 @@
         if self.table.on_report(report):
             self.on_change(report.engine_id)
 
-    def _recipients(self, engine_id: EngineId) -> list[state.Address]:
+    def _recipients(self, engine_id: serving.EngineId) -> list[state.Address]:
         """Return whom this instance tells of a changed limit.
 
         An instance tells the issuers of the upstream, and the first of
--- a/poplarloft/daemon/serving/upstream_limits.py
+++ b/poplarloft/daemon/serving/upstream_limits.py
@@ -12,7 +12,7 @@
 from poplarloft.daemon.serving import permit_link
 from poplarloft import state
 
-__all__ = ["Members", "UpstreamLimits"]
+__all__ = ["UpstreamLimits"]
 
 # A trial finds out whether a limit still holds although other upstreams of
 # the service have room.
@@ -22,7 +22,6 @@
 UNKNOWN_WAIT_MS = 500  # no issuer can be asked at the moment
 MAX_LATENESS_MS = 500  # a later request could meet those scheduled after it
 MS_PER_S = 1_000
-Members = abc.Callable[[], abc.Mapping[str, state.PeerRecord]]
 Acquired = result.Result[None, int]
 
 
@@ -56,7 +55,7 @@
         self,
         name: str,
         peers: peer_link.PeerLink,
-        members: Members,
+        members: permit_link.Members,
         has_peers: bool,
     ) -> None:
         self.name = name
@@ -66,8 +65,8 @@
         self.link = permit_link.PermitLink(
             self.clock, name, peers, members, self.table
         )
-        self.trial_at_ms: dict[tuple[str, int], int] = {}
-        self.denials: dict[tuple[str, int], _Denial] = {}
+        self.trial_at_ms: dict[serving.EngineId, int] = {}
+        self.denials: dict[serving.EngineId, _Denial] = {}
 
     def on_response(
         self, sampler: state.Sampler, named: state.NamedLimit, request_id: str
@@ -84,7 +83,7 @@
         if self.table.on_response(sampler.engine_id, named):
             self.link.on_change(sampler.engine_id, request_id)
 
-    def rate_of(self, engine_id: tuple[str, int]) -> float | None:
+    def rate_of(self, engine_id: serving.EngineId) -> float | None:
         """Return the limit of an upstream, None if it has none."""
         return self.table.rate_of(engine_id)
 
@@ -238,7 +237,7 @@
         return permit
 
     def _is_lower_now(
-        self, engine_id: tuple[str, int], rate_per_s: float | None
+        self, engine_id: serving.EngineId, rate_per_s: float | None
     ) -> bool:
         """Return whether a lower limit has been named since."""
         current_per_s = self.table.rate_of(engine_id)
