Log the fingerprint of a request whose attempt failed

Each client attempt has an id of its own, so nothing in the logs told that attempts at upstreams that ended were those of one request. The line names the request's fingerprint, as the own path's already did, and the start time of the upstream. The fingerprint's first half is that of caller and target alone, so that a body can be hashed as it passes.

--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -33,6 +33,7 @@
 class _AttemptHistory:
     """The attempts made so far for one request."""
 
+    fingerprint: str = ""  # empty while a streamed body is not complete
     names: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
     detail: str = "no upstream is available"
@@ -90,6 +91,10 @@
         deadline_ms = started_ms + allowed_ms - RESPONSE_MARGIN_MS
         service = self._pick_service(route)
         history = _AttemptHistory()
+        if isinstance(call.body, bytes):
+            hasher = call.hasher()
+            hasher.update(call.body)
+            history.fingerprint = hasher.fingerprint()
         while len(history.names) < max(1, route.max_attempts):
             remaining_ms = deadline_ms - self.clock.now_ms()
             if remaining_ms < MIN_ATTEMPT_MS:
@@ -264,6 +269,8 @@
             "attempt-failed",
             request=call.id,
             upstream=sampler.name,
+            born_ms=sampler.born_ms,
+            fingerprint=history.fingerprint,
             kind=failure.kind.value,
             detail=failure.detail[:200],
             verdict=verdict.value,
--- a/poplarloft/platform/ingress.py
+++ b/poplarloft/platform/ingress.py
@@ -63,6 +63,11 @@
     body: bytes | http.BodyStream
     deadline_ms: int
 
+    def hasher(self) -> http.RequestHasher:
+        """Return a hasher of the request, without its body."""
+        caller = dict(self.headers).get("authorization", "")
+        return http.RequestHasher(caller, self.host + self.target)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadLot:
--- a/poplarloft/protocol/__init__.py
+++ b/poplarloft/protocol/__init__.py
@@ -58,6 +58,7 @@
 from poplarloft.protocol.http import parse_caller_headers
 from poplarloft.protocol.http import problem_response
 from poplarloft.protocol.http import request_fingerprint
+from poplarloft.protocol.http import RequestHasher
 from poplarloft.protocol.http import with_end_callback
 from poplarloft.protocol.keys import AllowedPeer
 from poplarloft.protocol.keys import format_key_pair
@@ -212,6 +213,7 @@
     "read_cookie",
     "render_page",
     "request_fingerprint",
+    "RequestHasher",
     "ScoreAnswer",
     "ScoreRequest",
     "segment_key",
--- a/poplarloft/protocol/http.py
+++ b/poplarloft/protocol/http.py
@@ -19,6 +19,7 @@
     "HttpResponse",
     "LEAVING_HEADER",
     "NOT_EXECUTED_HEADER",
+    "RequestHasher",
     "bearer_digest",
     "claim_key",
     "json_response",
@@ -38,6 +39,7 @@
 # The upper 48 of the 128 bits are the Unix time in milliseconds (RFC 9562).
 UUID7_TIME_SHIFT = 80
 CLAIM_DIGEST_BYTES = 16
+HALF_FINGERPRINT_BYTES = 8
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -155,15 +157,41 @@
     return state.ClaimKey(digest.digest(), key.int >> UUID7_TIME_SHIFT)
 
 
-def request_fingerprint(owner: str, route: str, body: bytes) -> str:
-    """Return a digest of 32 hex digits that identifies equal requests.
+class RequestHasher:
+    """Computes the fingerprint of a request, whose body may come in pieces.
 
-    All retries of a request have the same fingerprint.
+    A fingerprint has 32 hex digits. The first half, the scope, is the same
+    for all requests of a caller to one target; all retries of a request
+    have the same fingerprint.
+
+    Parameters
+    ----------
+    caller : str
+        Identifies the caller.
+    target : str
+        Host, route or path that the request is for.
     """
-    digest = hashlib.blake2b(digest_size=CLAIM_DIGEST_BYTES)
-    digest.update(f"{owner}\n{route}\n".encode())
-    digest.update(body)
-    return digest.hexdigest()
+
+    def __init__(self, caller: str, target: str) -> None:
+        scope = f"{caller}\n{target}\n".encode()
+        digest = hashlib.blake2b(scope, digest_size=HALF_FINGERPRINT_BYTES)
+        self.scope = digest.hexdigest()
+        self.body = hashlib.blake2b(digest_size=HALF_FINGERPRINT_BYTES)
+
+    def update(self, piece: bytes) -> None:
+        """Add the next piece of the body."""
+        self.body.update(piece)
+
+    def fingerprint(self) -> str:
+        """Return the fingerprint of the request with the body so far."""
+        return self.scope + self.body.hexdigest()
+
+
+def request_fingerprint(caller: str, target: str, body: bytes) -> str:
+    """Return the fingerprint of a request with a complete body."""
+    hasher = RequestHasher(caller, target)
+    hasher.update(body)
+    return hasher.fingerprint()
 
 
 def json_response(status: int, value: object) -> HttpResponse:
