Reproduce requests that crash upstreams again and again

Four entries, two bulk daemons, six services, one request that crashes each of them every 0.4 s: 14 to 16 runs later than 4 s after the third crash where 3 are allowed; 14 with all entries, and with all instances, killed and started in between.

--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -46,6 +46,16 @@
     unfinished_event : bytes
         If not empty, outputs consist of this without end, which completes
         no event.
+    work_ms : float
+        Time to a response that is no output.
+    crash_marker : bytes
+        Requests whose body contains it crash the upstream, which starts
+        again after `down_s`; empty for none.
+    crashes : list of (str, float)
+        The request that caused each crash, and its monotonic time in
+        seconds.
+    on_restart : callable
+        Awaited after each restart.
     checks_fence : bool
         Whether orders with an older fencing token are refused.
     order_times : list of float
@@ -80,23 +90,51 @@
         self.resets = 0
         self.silent = False
         self.unfinished_event = b""
-        self.server = http_server.HttpServer(
+        self.work_ms = 0.0
+        self.crash_marker = b""
+        self.crashes: list[tuple[str, float]] = []
+        self.down_s = 1.0
+        self.on_restart: abc.Callable[[], abc.Awaitable[None]] = _do_nothing
+        self.restarting: asyncio.Task[None] | None = None
+        self.server = self._make_server()
+        self.address = state.Address("127.0.0.1", 0)
+
+    def _make_server(self) -> http_server.HttpServer:
+        return http_server.HttpServer(
             self._handle,
             http_server.ServerLimits(),
             lambda path: 1_000_000,
             cancel_on_disconnect=True,
         )
-        self.address = state.Address("127.0.0.1", 0)
 
     async def start(self) -> state.Address:
         """Listen on a free port; return its address."""
+        self.server = self._make_server()
         self.address = await self.server.start(self.address)
         return self.address
 
     async def stop(self) -> None:
         """Stop at once, cutting all connections."""
+        if self.restarting is not None:
+            self.restarting.cancel()
         await self.server.drain(0)
 
+    def crash(self, request_id: str = "") -> None:
+        """Cut all connections at once, and start again after `down_s`."""
+        if self.restarting is None or self.restarting.done():
+            self.crashes.append((request_id, time.monotonic()))
+            self.restarting = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await self.server.drain(0)
+        await asyncio.sleep(self.down_s)
+        self.born_ms = time.time_ns() // 1_000_000
+        self.orders.clear()
+        self.fence = 0
+        self.running = 0
+        await self.start()
+        await self.on_restart()
+
     def announcement(self, service: str, is_leaving: bool = False) -> bytes:
         """Return the entry that the upstream writes to the store."""
         models = [
@@ -139,6 +177,9 @@
         request_id = request.headers.get("x-request-id", "")
         self.runs.append(request_id)
         self.run_times.append((request_id, time.monotonic()))
+        if self.crash_marker and self.crash_marker in request.body:
+            self.crash(request_id)
+            await asyncio.Event().wait()
         if self.silent:
             await asyncio.Event().wait()
         if self.resets > 0:
@@ -153,6 +194,7 @@
         )
         counts = request.headers.get("x-token-counts")
         if counts is None:
+            await asyncio.sleep(self.work_ms / MS_PER_S)
             body = b"answer to " + request.body
             return http.HttpResponse(200, headers, body)
         count = int(counts.split(",")[1]) // 71
@@ -216,6 +258,10 @@
         return http.HttpResponse(202)
 
 
+async def _do_nothing() -> None:
+    pass
+
+
 def _json(body: object) -> http.HttpResponse:
     headers = (("content-type", "application/json"),)
     return http.HttpResponse(200, headers, msgspec.json.encode(body))
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -126,10 +126,12 @@
     must be set before `start`.
     """
 
-    def __init__(self):
+    def __init__(self, services=2):
         self.store = revision_store.RevisionStoreStandin()
         self.engines = [sampler.SamplerStandin(f"e{n}") for n in range(2)]
-        self.services = [sampler.SamplerStandin(f"s{n}") for n in range(2)]
+        self.services = [
+            sampler.SamplerStandin(f"s{n}") for n in range(services)
+        ]
         self.entries = []
         self.bulks = []
         self.client = http_client.HttpClient()
--- /dev/null
+++ b/tests/test_serving_poison.py
@@ -0,0 +1,133 @@
+"""Requests that crash the upstreams that run them, end to end."""
+
+import asyncio
+import functools
+import time
+
+import pytest
+
+from poplarloft.daemon.serving import store_relay
+from tests import serving_fleet
+
+MARKER = b"poison"
+POISON_PACE_S = 0.4
+INNOCENT_PACE_S = 0.05
+NEWS_BOUND_S = 4.0  # within which the fleet must know of the third crash
+RETRIES_ALLOWED = 3
+
+
+@pytest.fixture
+async def fleet(monkeypatch):
+    monkeypatch.setattr(store_relay, "FIRST_LIST_DELAY_MS", 300)
+    monkeypatch.setattr(store_relay, "LIST_INTERVAL_MS", 1_000)
+    made = serving_fleet.Fleet(services=6)
+    made.uses_change_feed = True
+    made.has_members = True
+    for service in made.services:
+        service.crash_marker = MARKER
+        service.work_ms = 30.0
+        service.on_restart = functools.partial(made.announce, service)
+    await made.start(entries=4, bulks=2)
+    yield made
+    await made.stop()
+
+
+async def call(fleet, request_id, body, number):
+    """Send a request to one of the entries; return its status."""
+    entry = fleet.entries[number % len(fleet.entries)]
+    headers = (("x-request-id", request_id), ("x-deadline-ms", "2500"))
+    status, _, _ = await fleet.call("POST", "/p/1", body, headers, entry)
+    return status
+
+
+async def send_poison(fleet, seconds):
+    """Send one poison request again and again, to the entries in turn."""
+    calls = []
+    for number in range(int(seconds / POISON_PACE_S)):
+        calls.append(
+            asyncio.ensure_future(
+                call(fleet, f"poison-{number}", MARKER, number)
+            )
+        )
+        await asyncio.sleep(POISON_PACE_S)
+    return await asyncio.gather(*calls, return_exceptions=True)
+
+
+async def send_innocents(fleet, seconds):
+    """Send requests that crash nothing; return their statuses."""
+    calls = []
+    for number in range(int(seconds / INNOCENT_PACE_S)):
+        request_id = f"innocent-{number}"
+        calls.append(
+            asyncio.ensure_future(
+                call(fleet, request_id, request_id.encode(), number)
+            )
+        )
+        await asyncio.sleep(INNOCENT_PACE_S)
+    return await asyncio.gather(*calls)
+
+
+def crash_times(fleet):
+    """Return the times of the crashes that poison requests caused."""
+    return sorted(
+        at_s
+        for service in fleet.services
+        for request_id, at_s in service.crashes
+        if request_id.startswith("poison")
+    )
+
+
+def late_runs(fleet):
+    """Return the poison runs later than the bound after the third crash."""
+    known_at_s = crash_times(fleet)[2] + NEWS_BOUND_S
+    return [
+        request_id
+        for service in fleet.services
+        for request_id, at_s in service.run_times
+        if request_id.startswith("poison") and at_s > known_at_s
+    ]
+
+
+async def test_a_request_that_crashed_three_upstreams_reaches_no_more(fleet):
+    poisons, innocents = await asyncio.gather(
+        send_poison(fleet, 9), send_innocents(fleet, 9)
+    )
+    assert len(late_runs(fleet)) <= RETRIES_ALLOWED
+    assert len(crash_times(fleet)) <= 6
+    assert set(poisons) <= {502, 503, 504}
+    assert innocents.count(200) >= 0.99 * len(innocents)
+
+
+async def restart_entries(fleet):
+    names = [entry.settings.name for entry in fleet.entries]
+    for entry in list(fleet.entries):
+        await fleet.kill(entry)
+    for name in names:
+        await fleet.add_entry(name)
+
+
+async def test_crashes_outlive_all_entries_that_saw_them(fleet):
+    await send_poison(fleet, 2)
+    for _ in range(3):
+        await restart_entries(fleet)
+        started_s = time.monotonic()
+        await send_poison(fleet, 2)
+        assert time.monotonic() - started_s < 5
+    assert len(late_runs(fleet)) <= RETRIES_ALLOWED
+
+
+async def restart_everything(fleet):
+    names = [bulk.settings.name for bulk in fleet.bulks]
+    for bulk in list(fleet.bulks):
+        await fleet.kill(bulk)
+    await restart_entries(fleet)
+    for name in names:
+        await fleet.add_bulk(name)
+
+
+async def test_crashes_outlive_all_instances_of_the_fleet(fleet):
+    await send_poison(fleet, 2)
+    for _ in range(2):
+        await restart_everything(fleet)
+        await send_poison(fleet, 3)
+    assert len(late_runs(fleet)) <= RETRIES_ALLOWED
