--- a/benchmarks/poison.py
+++ b/benchmarks/poison.py
@@ -63,7 +63,7 @@
     """Daemon with its poison guard."""
 
     def __init__(self, clock: state.Clock, name: str) -> None:
-        self.guard = coordination.PoisonGuard(clock, clock, name)
+        self.guard = coordination.PoisonGuard(clock, clock)
 
 
 class _Simulation:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -263,7 +263,7 @@
         coordination.AdmissionController(
             clock, coordination.AdmissionSettings(max_concurrent=size + 1)
         ),
-        coordination.PoisonGuard(clock, clock, "entry-1#1"),
+        coordination.PoisonGuard(clock, clock),
         coordination.LoadView(clock),
     )
 
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -57,6 +57,7 @@
 from poplarloft.coordination.lots import planned_staleness
 from poplarloft.coordination.lots import ScoreSample
 from poplarloft.coordination.membership import Membership
+from poplarloft.coordination.poison import CrashHistory
 from poplarloft.coordination.poison import FingerprintStatus
 from poplarloft.coordination.poison import PoisonGuard
 from poplarloft.coordination.poison import PoisonSettings
@@ -129,6 +130,7 @@
     "ClaimTable",
     "CostEstimate",
     "CostModel",
+    "CrashHistory",
     "dispute",
     "DisseminationSettings",
     "EngineReport",
--- a/poplarloft/coordination/poison.py
+++ b/poplarloft/coordination/poison.py
@@ -1,19 +1,32 @@
 """Detection of requests that crash the upstreams on which they run.
 
-When an upstream crashes, the crash is counted for the fingerprint of each
-request in flight on it, which makes the fingerprint a suspect. A suspect
-runs only on an upstream without other suspects, so that another crash
-identifies the cause. A suspect that runs to completion is cleared.
+When a run of an upstream ends in a crash, the crash counts for the
+fingerprint of each request in flight on it, which makes the fingerprint a
+suspect. A suspect runs only on an upstream without other suspects, so that
+another crash identifies the cause. A suspect that runs to completion is
+cleared. What instances tell each other is a set of crashes, so that news may
+arrive twice, late and in any order.
 """
 
 from collections import abc
 import dataclasses
 import enum
 
+import xxhash
+
 from poplarloft.coordination import routing
 from poplarloft import state
 
-__all__ = ["FingerprintStatus", "PoisonGuard", "PoisonSettings"]
+__all__ = [
+    "CrashHistory",
+    "FingerprintStatus",
+    "PoisonGuard",
+    "PoisonSettings",
+    "Run",
+]
+
+Run = tuple[str, int]  # name and incarnation of an upstream
+SCOPE_DIGITS = 16  # first half of a fingerprint: caller and target
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,10 +42,13 @@
     quarantine_ms : int
         Duration of the quarantine.
     retention_ms : int
-        Time after which crash counts and ended quarantines expire.
+        Time after which crashes and ended quarantines expire.
     isolation_ms : int
         Time after a crash for which a suspect's upstream is kept free
         of other suspects.
+    max_fingerprints : int
+        Number of fingerprints of which crashes are kept. Beyond it those
+        with the fewest crashes are forgotten, the oldest first.
     """
 
     sole_suspect_limit: int = 2
@@ -40,44 +56,59 @@
     quarantine_ms: int = 3_600_000
     retention_ms: int = 600_000
     isolation_ms: int = 2_000
+    max_fingerprints: int = 4_096
 
 
 class FingerprintStatus(enum.Enum):
     """Restriction on running requests of a fingerprint.
 
     A clear one may run on any upstream, a suspect only on an upstream
-    without other suspects, and a quarantined one is refused.
+    without other suspects. One on hold may have crashed as many upstreams
+    as are allowed, which is being found out; it is refused meanwhile, as a
+    quarantined one is.
     """
 
     CLEAR = "clear"
     SUSPECT = "suspect"
+    ON_HOLD = "on-hold"
     QUARANTINED = "quarantined"
 
 
 @dataclasses.dataclass(slots=True)
-class _CrashCounts:
-    """Crashes seen by one observer, and how many of them were cleared."""
+class CrashHistory:
+    """The crashes that count for one fingerprint.
+
+    Parameters
+    ----------
+    crashes : dict of Run to bool
+        The runs of upstreams that ended while it was in flight, and whether
+        it was the only suspect.
+    cleared : set of Run
+        Those that count no more, as it has run to completion since.
+    updated_at_ms : int
+        Time of the newest crash.
+    """
 
-    crashes: int = 0
-    sole_suspect_crashes: int = 0
+    crashes: dict[Run, bool] = dataclasses.field(default_factory=dict)
+    cleared: set[Run] = dataclasses.field(default_factory=set)
     updated_at_ms: int = 0
-    cleared_crashes: int = 0
-    cleared_sole_suspect_crashes: int = 0
 
-    def clear(self) -> None:
-        self.cleared_crashes = self.crashes
-        self.cleared_sole_suspect_crashes = self.sole_suspect_crashes
+    def counted(self) -> list[Run]:
+        """Return the runs whose crashes count."""
+        return [run for run in self.crashes if run not in self.cleared]
+
+    def as_sole_suspect(self) -> int:
+        """Return the number of counted crashes without another suspect."""
+        return sum(self.crashes[run] for run in self.counted())
 
 
 class PoisonGuard:
-    """Crash counts and quarantines known to one instance.
+    """Crashes and quarantines known to one instance.
 
     Parameters
     ----------
     clock, wall_clock : state.Clock
         Monotonic and Unix time.
-    observer : str
-        Name and incarnation of this instance.
     settings : PoisonSettings
         Limits and durations.
     """
@@ -86,30 +117,49 @@
         self,
         clock: state.Clock,
         wall_clock: state.Clock,
-        observer: str,
         settings: PoisonSettings | None = None,
     ) -> None:
         self.clock = clock
         self.wall_clock = wall_clock
-        self.observer = observer
         self.settings = settings or PoisonSettings()
-        self.in_flight: dict[tuple[str, int], dict[int, str]] = {}
-        # fingerprints in flight at a reset; empty once its crash is counted
-        self.resets: dict[tuple[str, int], tuple[str, ...]] = {}
-        self.crash_counts: dict[str, dict[str, _CrashCounts]] = {}
+        self.in_flight: dict[Run, dict[int, str]] = {}
+        # fingerprints in flight when a connection was lost, while it is not
+        # known whether the run has ended; empty once its crash is counted
+        self.resets: dict[Run, tuple[str, ...]] = {}
+        self.histories: dict[str, CrashHistory] = {}
         self.quarantined: dict[str, state.QuarantineUpdate] = {}
         self.next_ticket = 0
 
     def status_of(self, fingerprint: str) -> FingerprintStatus:
-        """Return whether a fingerprint is clear, suspect or quarantined."""
+        """Return the restriction on requests of a fingerprint."""
         quarantine = self.quarantined.get(fingerprint)
         now_ms = self.wall_clock.now_ms()
         if quarantine is not None and quarantine.until_ms > now_ms:
             return FingerprintStatus.QUARANTINED
-        if self._totals(fingerprint)[0] > 0:
+        crashes = self.crashes_of(fingerprint)
+        if self.resets:
+            possible = sum(fingerprint in s for s in self.resets.values())
+            if crashes + possible >= self.settings.crash_limit:
+                return FingerprintStatus.ON_HOLD
+        if crashes > 0:
             return FingerprintStatus.SUSPECT
         return FingerprintStatus.CLEAR
 
+    def crashes_of(self, fingerprint: str) -> int:
+        """Return the number of crashes that count for a fingerprint."""
+        history = self.histories.get(fingerprint)
+        return 0 if history is None else len(history.counted())
+
+    def has_scope(self, scope: str) -> bool:
+        """Return whether a request of a caller and target is restricted.
+
+        `scope` is the first half of the fingerprints of these requests.
+        """
+        known = {*self.histories, *self.quarantined}
+        for suspects in self.resets.values():
+            known.update(suspects)
+        return any(fingerprint.startswith(scope) for fingerprint in known)
+
     def placement(
         self, fingerprint: str, upstreams: abc.Collection[str]
     ) -> str | None:
@@ -127,16 +177,6 @@
             taken.update(free[:1])
         return None
 
-    def _active_suspects(self) -> list[str]:
-        """Return the suspects that are likely to be running again."""
-        oldest_ms = self.clock.now_ms() - self.settings.isolation_ms
-        return [
-            fingerprint
-            for fingerprint, observers in self.crash_counts.items()
-            if any(n.updated_at_ms >= oldest_ms for n in observers.values())
-            and self.status_of(fingerprint) is FingerprintStatus.SUSPECT
-        ]
-
     def on_dispatch(
         self, upstream: str, incarnation: int, fingerprint: str
     ) -> int:
@@ -157,66 +197,74 @@
 
     def on_completed(self, fingerprint: str) -> list[state.GossipUpdate]:
         """Clear a suspect that ran to completion."""
-        if self.status_of(fingerprint) is not FingerprintStatus.SUSPECT:
+        status = self.status_of(fingerprint)
+        if status is FingerprintStatus.QUARANTINED:
             return []
-        update = state.ClearedUpdate(fingerprint, self.wall_clock.now_ms())
+        history = self.histories.get(fingerprint)
+        if history is None or not history.counted():
+            return []
+        update = state.ClearedUpdate(
+            fingerprint, self.wall_clock.now_ms(), tuple(history.crashes)
+        )
         self.on_update(update)
         return [update]
 
     def on_reset(self, upstream: str, incarnation: int) -> None:
-        """Record the requests in flight when a connection was reset."""
-        reset = (upstream, incarnation)
-        if reset not in self.resets:
-            running = self.in_flight.get(reset, {})
-            self.resets[reset] = tuple(sorted(set(running.values())))
-
-    def on_reset_without_crash(self, upstream: str, incarnation: int) -> None:
-        """Discard a reset after which the upstream still accepts connections.
+        """Record the requests in flight when a connection was lost.
 
-        Such a reset was not caused by a crash.
+        A request that was sent since an earlier loss, and is lost as well,
+        is recorded with those of the earlier one.
         """
+        run = upstream, incarnation
+        before = self.resets.get(run)
+        if before == ():
+            return
+        running = self.in_flight.get(run, {})
+        self.resets[run] = tuple(sorted({*(before or ()), *running.values()}))
+
+    def on_reset_without_crash(self, upstream: str, incarnation: int) -> None:
+        """Discard the losses of connections to a run that goes on."""
         if self.resets.get((upstream, incarnation)):
             del self.resets[(upstream, incarnation)]
 
     def on_crash(
         self, upstream: str, incarnation: int
     ) -> list[state.GossipUpdate]:
-        """Count a crash for each request in flight at the connection's reset.
+        """Count a crash for each request in flight at the connection's loss.
 
-        Each recorded reset is counted once.
+        The crash of a run is counted once.
         """
-        suspects = self.resets.get((upstream, incarnation), ())
-        self.resets[(upstream, incarnation)] = ()
-        known = [
-            f
-            for f in suspects
-            if self.status_of(f) is not FingerprintStatus.CLEAR
-        ]
+        run = upstream, incarnation
+        suspects = self.resets.get(run, ())
+        self.resets[run] = ()
+        known = [f for f in suspects if self.crashes_of(f) > 0]
         updates: list[state.GossipUpdate] = []
         for fingerprint in suspects:
             is_sole = suspects == (fingerprint,) or known == [fingerprint]
-            updates += self._count_crash(fingerprint, is_sole)
+            crash = state.CrashUpdate(
+                fingerprint, upstream, incarnation, is_sole
+            )
+            updates.append(crash)
+            self.on_update(crash)
+            quarantine = self.quarantined.get(fingerprint)
+            if quarantine is not None and quarantine.until_ms:
+                updates.append(quarantine)
         return updates
 
     def on_update(self, update: state.GossipUpdate) -> None:
-        """Apply a crash count, a clearance or a quarantine."""
+        """Apply a crash, a clearance or a quarantine."""
         match update:
-            case state.CrashCountUpdate(fingerprint, observer, total, sole):
-                counts = self._counts_of(fingerprint, observer)
-                counts.crashes, counts.sole_suspect_crashes = total, sole
-                counts.updated_at_ms = self.clock.now_ms()
-            case state.ClearedUpdate(fingerprint):
-                for counts in self.crash_counts.get(fingerprint, {}).values():
-                    counts.clear()
+            case state.CrashUpdate(fingerprint):
+                self._add_crash(update)
+                self._quarantine_if_due(fingerprint)
+            case state.ClearedUpdate(fingerprint, runs=runs):
+                self._history_of(fingerprint).cleared.update(runs)
             case state.QuarantineUpdate(fingerprint):
                 known = self.quarantined.get(fingerprint)
                 if known is None or known.order < update.order:
                     self.quarantined[fingerprint] = update
                 if update.until_ms == 0:
-                    for counts in self.crash_counts.get(
-                        fingerprint, {}
-                    ).values():
-                        counts.clear()
+                    self._clear_all(fingerprint)
 
     def release(self, fingerprint: str) -> state.QuarantineUpdate:
         """End a quarantine at an operator's request and clear its crashes."""
@@ -227,14 +275,18 @@
         return update
 
     def drop_expired(self) -> list[tuple[str, str]]:
-        """Drop expired crash counts and quarantines.
+        """Drop expired crashes and quarantines.
 
         Returns
         -------
         list of tuple of str
             Keys of their gossip updates.
         """
-        dropped = self._drop_crash_counts()
+        dropped = []
+        oldest_ms = self.clock.now_ms() - self.settings.retention_ms
+        for fingerprint, history in list(self.histories.items()):
+            if history.updated_at_ms < oldest_ms:
+                dropped += self._forget(fingerprint)
         now_ms = self.wall_clock.now_ms()
         for fingerprint, quarantine in list(self.quarantined.items()):
             if quarantine.until_ms + self.settings.retention_ms < now_ms:
@@ -243,71 +295,89 @@
         self.resets = {p: s for p, s in self.resets.items() if s}
         return dropped
 
-    def _drop_crash_counts(self) -> list[tuple[str, str]]:
-        oldest_ms = self.clock.now_ms() - self.settings.retention_ms
-        # keys of gossip updates: "strike" for the crash count of an observer,
-        # "absolved" for a cleared fingerprint
-        dropped = []
-        for fingerprint, observers in list(self.crash_counts.items()):
-            for observer, counts in list(observers.items()):
-                if counts.updated_at_ms < oldest_ms:
-                    del observers[observer]
-                    dropped.append(("strike", f"{fingerprint}/{observer}"))
-            if not observers:
-                del self.crash_counts[fingerprint]
-                dropped.append(("absolved", fingerprint))
-        return dropped
+    def digest(self) -> int:
+        """Return a digest of the crashes that count and of the quarantines.
 
-    def _count_crash(
-        self, fingerprint: str, is_sole: bool
-    ) -> list[state.GossipUpdate]:
-        counts = self._counts_of(fingerprint, self.observer)
-        counts.crashes += 1
-        counts.sole_suspect_crashes += is_sole
-        counts.updated_at_ms = self.clock.now_ms()
-        updates: list[state.GossipUpdate] = [
-            state.CrashCountUpdate(
-                fingerprint,
-                self.observer,
-                counts.crashes,
-                counts.sole_suspect_crashes,
-            )
+        Instances that know the same have the same digest, 0 if it is
+        nothing.
+        """
+        rows = [
+            f"{fingerprint}/{upstream}#{incarnation}"
+            for fingerprint, history in self.histories.items()
+            for upstream, incarnation in history.counted()
+        ]
+        rows += [
+            f"{fingerprint}/{quarantine.generation}"
+            for fingerprint, quarantine in self.quarantined.items()
         ]
-        crashes, sole_suspect_crashes = self._totals(fingerprint)
+        combined = 0
+        for row in rows:
+            combined ^= xxhash.xxh64_intdigest(row.encode())
+        return combined
+
+    def _active_suspects(self) -> list[str]:
+        """Return the suspects that are likely to be running again."""
+        oldest_ms = self.clock.now_ms() - self.settings.isolation_ms
+        return [
+            fingerprint
+            for fingerprint, history in self.histories.items()
+            if history.updated_at_ms >= oldest_ms
+            and self.status_of(fingerprint) is FingerprintStatus.SUSPECT
+        ]
+
+    def _add_crash(self, update: state.CrashUpdate) -> None:
+        history = self._history_of(update.fingerprint)
+        is_sole = history.crashes.get(update.run, True)
+        history.crashes[update.run] = is_sole and update.is_sole_suspect
+        history.updated_at_ms = self.clock.now_ms()
+
+    def _quarantine_if_due(self, fingerprint: str) -> None:
+        """Quarantine a fingerprint once its crashes reach a limit.
+
+        Every instance decides so by itself, from the crashes that it knows.
+        """
+        history = self.histories[fingerprint]
         settings = self.settings
         if (
-            crashes >= settings.crash_limit
-            or sole_suspect_crashes >= settings.sole_suspect_limit
+            len(history.counted()) < settings.crash_limit
+            and history.as_sole_suspect() < settings.sole_suspect_limit
         ):
-            updates.append(self._quarantine(fingerprint))
-        return updates
-
-    def _counts_of(self, fingerprint: str, observer: str) -> _CrashCounts:
-        observers = self.crash_counts.setdefault(fingerprint, {})
-        return observers.setdefault(observer, _CrashCounts())
-
-    def _quarantine(self, fingerprint: str) -> state.QuarantineUpdate:
+            return
         known = self.quarantined.get(fingerprint)
-        update = state.QuarantineUpdate(
+        now_ms = self.wall_clock.now_ms()
+        if known is not None and known.until_ms > now_ms:
+            return
+        self.quarantined[fingerprint] = state.QuarantineUpdate(
             fingerprint,
-            self.wall_clock.now_ms() + self.settings.quarantine_ms,
+            now_ms + settings.quarantine_ms,
             known.generation if known is not None else 0,
         )
-        self.quarantined[fingerprint] = update
-        return update
 
-    def _totals(self, fingerprint: str) -> tuple[int, int]:
-        """Return the crashes in total and those as the sole suspect."""
-        oldest_ms = self.clock.now_ms() - self.settings.retention_ms
-        current = [
-            counts
-            for counts in self.crash_counts.get(fingerprint, {}).values()
-            if counts.updated_at_ms >= oldest_ms
+    def _clear_all(self, fingerprint: str) -> None:
+        history = self.histories.get(fingerprint)
+        if history is not None:
+            history.cleared.update(history.crashes)
+
+    def _history_of(self, fingerprint: str) -> CrashHistory:
+        history = self.histories.get(fingerprint)
+        if history is None:
+            if len(self.histories) >= self.settings.max_fingerprints:
+                self._forget(min(self.histories, key=self._importance))
+            history = CrashHistory(updated_at_ms=self.clock.now_ms())
+            self.histories[fingerprint] = history
+        return history
+
+    def _importance(self, fingerprint: str) -> tuple[int, int]:
+        history = self.histories[fingerprint]
+        return len(history.counted()), history.updated_at_ms
+
+    def _forget(self, fingerprint: str) -> list[tuple[str, str]]:
+        """Forget the crashes of a fingerprint; return their updates' keys."""
+        history = self.histories.pop(fingerprint)
+        keys = [
+            state.CrashUpdate(fingerprint, *run, False).key
+            for run in history.crashes
         ]
-        return (
-            sum(n.crashes - n.cleared_crashes for n in current),
-            sum(
-                n.sole_suspect_crashes - n.cleared_sole_suspect_crashes
-                for n in current
-            ),
-        )
+        if history.cleared:
+            keys.append(state.ClearedUpdate(fingerprint, 0, ()).key)
+        return keys
--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -17,6 +17,9 @@
 from poplarloft.coordination.serving.leader_location import LeaderLocation
 from poplarloft.coordination.serving.limit_table import KnownLimit
 from poplarloft.coordination.serving.limit_table import LimitTable
+from poplarloft.coordination.serving.lost_runs import LostRuns
+from poplarloft.coordination.serving.lost_runs import RunVerdict
+from poplarloft.coordination.serving.lost_runs import VerdictKind
 from poplarloft.coordination.serving.lot_plan import LotPlan
 from poplarloft.coordination.serving.order_lock import OrderLock
 from poplarloft.coordination.serving.order_lock import OrderRules
@@ -57,6 +60,7 @@
     "LeastExpectedTime",
     "LimitTable",
     "LoadVersion",
+    "LostRuns",
     "LotPlan",
     "OrderLock",
     "OrderRules",
@@ -69,9 +73,11 @@
     "ReadHolder",
     "ResultLog",
     "RevokeLease",
+    "RunVerdict",
     "SamplerRegistry",
     "Stage",
     "StartItem",
+    "VerdictKind",
     "WeightLoadPlanner",
     "WriteBatch",
     "WriteHolder",
--- a/poplarloft/coordination/tests/test_requests.py
+++ b/poplarloft/coordination/tests/test_requests.py
@@ -112,7 +112,7 @@
 
 def _guard(name="entry-1"):
     clock = state.ManualClock(1_000)
-    return coordination.PoisonGuard(clock, clock, name), clock
+    return coordination.PoisonGuard(clock, clock), clock
 
 
 def _crash(guard, upstream, *fingerprints):
@@ -330,8 +330,8 @@
     _crash(guard, "e3", "f1")
     clock.advance(guard.settings.retention_ms + 1)
     dropped = guard.drop_expired()
-    assert ("strike", "f2/entry-1") in dropped
-    assert guard.crash_counts == {}
+    assert ("crash", "f2/e1#1") in dropped
+    assert guard.histories == {}
     clock.advance(guard.settings.quarantine_ms)
     assert guard.drop_expired() == [("quarantine", "f1")]
     assert guard.quarantined == {}
--- a/poplarloft/daemon/attempts.py
+++ b/poplarloft/daemon/attempts.py
@@ -1,11 +1,8 @@
-"""Attempts in flight, and the log line and refusal of a quarantine."""
+"""Attempts in flight at upstreams."""
 
 import dataclasses
 import typing
 
-import eliot
-
-from poplarloft import coordination
 from poplarloft.daemon import calls
 from poplarloft import state
 
@@ -15,8 +12,6 @@
 __all__ = [
     "AttemptInFlight",
     "PURPOSE_ANSWERED",
-    "log_quarantine",
-    "quarantined_refusal",
 ]
 
 PURPOSE_ANSWERED = "answered"
@@ -50,23 +45,3 @@
             self.purpose,
             dispatcher.clock.now_ms() - self.started_at_ms,
         )
-
-
-def log_quarantine(update: state.GossipUpdate) -> None:
-    """Write a log line if a gossip update quarantines a fingerprint."""
-    if isinstance(update, state.QuarantineUpdate):
-        eliot.log_message(
-            "quarantine",
-            fingerprint=update.fingerprint,
-            until_ms=update.until_ms,
-        )
-
-
-def quarantined_refusal(plan: coordination.AttemptPlan) -> state.Refusal:
-    """Return the refusal of a request whose fingerprint is quarantined."""
-    return state.Refusal(
-        state.Reason.QUARANTINED,
-        plan.verdict,
-        "requests with this body have crashed upstreams and are quarantined; "
-        "an operator can release the fingerprint",
-    )
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -10,6 +10,7 @@
 from poplarloft import coordination
 from poplarloft.daemon import attempts
 from poplarloft.daemon import calls
+from poplarloft.daemon import quarantines
 from poplarloft.daemon import resuming
 from poplarloft.daemon import upstreams
 from poplarloft.protocol import http
@@ -95,7 +96,9 @@
         while True:
             status = self.guard.status_of(call.fingerprint)
             if status is coordination.FingerprintStatus.QUARANTINED:
-                return result.Failure(attempts.quarantined_refusal(plan))
+                return result.Failure(
+                    quarantines.quarantined_refusal(plan.verdict)
+                )
             candidates = self._candidates(call, status, excluded)
             if not candidates and self._should_wait(call, status):
                 # An upstream is available again soon, when another
@@ -124,7 +127,7 @@
         """Return whether a suspect has time to wait for an upstream."""
         now_ms = self.clock.now_ms()
         return (
-            status is coordination.FingerprintStatus.SUSPECT
+            status is not coordination.FingerprintStatus.CLEAR
             and now_ms + SUSPECT_WAIT_MS < call.deadline_ms
         )
 
@@ -138,8 +141,10 @@
 
         That one runs no other active suspect. It is chosen among all
         upstreams, not by the request's routing, since all instances must
-        agree on it.
+        agree on it. A request on hold has none.
         """
+        if status is coordination.FingerprintStatus.ON_HOLD:
+            return []
         is_clear = status is coordination.FingerprintStatus.CLEAR
         candidates = self.upstreams.candidates(
             call.route.service,
@@ -306,7 +311,7 @@
                 updates = self.guard.on_crash(name, incarnation)
                 for update in updates:
                     self.publish(update)
-                    attempts.log_quarantine(update)
+                    quarantines.log_quarantine(update)
                 # The crash counts must reach the neighbours before the
                 # request is sent again.
                 await asyncio.sleep(GOSSIP_HEAD_START_MS / MS_PER_S)
--- a/poplarloft/daemon/gossip_bridge.py
+++ b/poplarloft/daemon/gossip_bridge.py
@@ -122,7 +122,7 @@
                     self.wanted_revision = revision
                     self._request_head(holder)
             case (
-                state.CrashCountUpdate()
+                state.CrashUpdate()
                 | state.ClearedUpdate()
                 | state.QuarantineUpdate()
             ):
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -273,9 +273,7 @@
         )
 
     def _make_relay(self) -> relay.Relay:
-        self.guard = coordination.PoisonGuard(
-            self.clock, self.wall_clock, str(self.incarnation)
-        )
+        self.guard = coordination.PoisonGuard(self.clock, self.wall_clock)
         self.dispatcher = dispatch.Dispatcher(
             self.clock,
             self.upstreams,
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -5,8 +5,11 @@
 import eliot
 from returns import result
 
+from poplarloft import coordination
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import base
+from poplarloft.daemon.serving import crash_guard
+from poplarloft.daemon.serving import crash_news
 from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import forwarding
 from poplarloft.daemon.serving import lot_service
@@ -26,6 +29,7 @@
 
 MS_PER_S = 1_000
 EXIT_MARGIN_MS = 500
+CRASH_LIMIT = 3
 START_RETRY_MS = 100  # about the duration of the first listing of the store
 # Pause between two watches, as a fraction of the time allowed to notice that
 # an upstream is leaving.
@@ -47,13 +51,16 @@
         self.samplers = view.SamplerView(
             self.clock, int(WATCH_PAUSE_SHARE * settings.leaving_bound_ms)
         )
+        client = samplers.SamplerClient(self.client, self.limits)
+        self.guard = self._make_guard(client)
         self.forwarder = forwarding.Forwarder(
             self.clock,
             self.samplers,
-            samplers.SamplerClient(self.client, self.limits),
+            client,
             self.make_balancer(),
             self.rng,
             self.limits,
+            self.guard,
         )
         self.lot_service = lot_service.LotService(
             self.clock,
@@ -71,6 +78,33 @@
         self.samplers.listeners.append(
             lambda: self.limits.follow(self.samplers.registry)
         )
+        self.samplers.listeners.append(self.guard.on_announcements)
+        self.relay.listeners.append(self.guard.news.on_peers)
+
+    def _make_guard(
+        self, client: samplers.SamplerClient
+    ) -> crash_guard.CrashGuard:
+        settings = coordination.PoisonSettings(
+            sole_suspect_limit=CRASH_LIMIT, crash_limit=CRASH_LIMIT
+        )
+        guard = coordination.PoisonGuard(self.clock, self.wall_clock, settings)
+        news = crash_news.CrashNews(
+            self.clock,
+            self.wall_clock,
+            self.settings.name,
+            guard,
+            self.store,
+            self.peers,
+            lambda: self.relay.members,
+        )
+        return crash_guard.CrashGuard(
+            self.clock,
+            guard,
+            news,
+            self.samplers.registry,
+            client,
+            self.task_set,
+        )
 
     async def start(self) -> None:
         """Start following the store and open the listeners."""
@@ -85,6 +119,7 @@
         await self.start_relay()
         self.operator.start(self.store, self.task_set, self.feed)
         self.samplers.start(self.store, self.task_set, self.feed)
+        self.guard.news.start(self.task_set, self.feed)
         await self.readiness_server.start(
             addresses.parse_address(settings.ready_listen)
         )
@@ -136,6 +171,7 @@
             not self.is_stopping
             and self.operator.configuration is not None
             and self.samplers.is_listed.is_set()
+            and self.guard.news.is_read.is_set()
         )
 
     async def answer_readiness(
@@ -185,6 +221,10 @@
             )
         if route.kind is state.RouteKind.LOTS:
             return await self._accept_lot(request, host)
+        if not self.guard.news.is_read.is_set():
+            return self._refuse(
+                request, state.Reason.NOT_READY, "crash news not read yet"
+            )
         call = ingress.forwarded_call(request)
         return await self.forwarder.handle(call, route)
 
--- a/poplarloft/daemon/serving/feed_link.py
+++ b/poplarloft/daemon/serving/feed_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 
 import eliot
 
@@ -20,9 +21,21 @@
 MS_PER_S = 1_000
 
 
+def _no_digest() -> int:
+    return 0
+
+
+def _ignore_digest(digest: int) -> None:
+    pass
+
+
 class FeedLink:
     """Requests store updates from peers, and answers their requests.
 
+    Requests and answers carry a digest of what their sender knows of
+    crashes; `digest` returns this daemon's, and `on_digest` is called with
+    those of others.
+
     Parameters
     ----------
     clock : state.Clock
@@ -58,6 +71,8 @@
             str, asyncio.Future[state.FeedPart | None]
         ] = {}
         self.requesters: dict[str, state.Address] = {}
+        self.digest: abc.Callable[[], int] = _no_digest
+        self.on_digest: abc.Callable[[int], None] = _ignore_digest
 
     def start(self, task_set: tasks.TaskSet) -> None:
         """Start requesting updates from peers."""
@@ -109,10 +124,13 @@
             }
             outgoing = self.reader.next_request(positions)
             if outgoing is not None:
-                self.peers.send(*outgoing)
+                address, request = outgoing
+                request = dataclasses.replace(request, digest=self.digest())
+                self.peers.send(address, request)
             await asyncio.sleep(REQUEST_INTERVAL_MS / MS_PER_S)
 
     def _on_answer(self, answer: state.FeedAnswer) -> None:
+        self.on_digest(answer.digest)
         for part in self.reader.on_answer(answer):
             future = self.pending_parts.pop(part.prefix, None)
             if future is not None and not future.done():
@@ -122,11 +140,14 @@
         if not self.reader.is_source:
             eliot.log_message("feed-hub", asked_by=request.name)
         self.reader.on_request()
+        self.on_digest(request.digest)
         self.requesters[request.name] = request.address
         parts = tuple(
             self.histories[prefix].part_after(position)
             for prefix, position in request.positions.items()
             if prefix in self.histories and self.histories[prefix].revision
         )
-        answer = state.FeedAnswer(self.name, request.sent_at_ms, parts)
+        answer = state.FeedAnswer(
+            self.name, request.sent_at_ms, parts, self.digest()
+        )
         self.peers.send(request.address, answer)
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards single requests of clients to upstreams."""
 
+import asyncio
 from collections import abc
 import dataclasses
 import random
@@ -7,8 +8,11 @@
 import eliot
 from returns import result
 
+from poplarloft import coordination
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
+from poplarloft.daemon import quarantines
+from poplarloft.daemon.serving import crash_guard
 from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon.serving import view
 from poplarloft.platform import ingress
@@ -26,18 +30,46 @@
 SERVER_ERROR = 500
 SERVICE_SHARE = 3  # a third of the time left is kept for the upstream
 MAX_BUFFERED_BYTES = 262_144  # larger responses are streamed to the client
+MAX_UNCOUNTED = 8
+SUSPECT_WAIT_MS = 100  # until a suspect without an upstream looks again
+MS_PER_S = 1_000
 FailureKind = retries.FailureKind
+LOST_KINDS = frozenset(
+    {
+        FailureKind.RESET_AFTER_SEND,
+        FailureKind.TRUNCATED_RESPONSE,
+        FailureKind.TIMEOUT,
+    }
+)
+Status = coordination.FingerprintStatus
 
 
 @dataclasses.dataclass(slots=True)
 class _AttemptHistory:
-    """The attempts made so far for one request."""
+    """The attempts made so far for one request.
+
+    Parameters
+    ----------
+    names : list of str
+        The upstreams tried.
+    uncounted : int
+        Number of attempts at upstreams that crashed or did not listen.
+    may_have_run : bool
+        Whether an upstream may have run the request.
+    detail : str
+        Why there is no response so far.
+    limited_for_ms : int or None
+        Time until an upstream takes a request, if all are limited.
+    status : coordination.FingerprintStatus
+        Restriction on the request's fingerprint when last looked at.
+    """
 
-    fingerprint: str = ""  # empty while a streamed body is not complete
     names: list[str] = dataclasses.field(default_factory=list)
+    uncounted: int = 0
     may_have_run: bool = False
     detail: str = "no upstream is available"
-    limited_for_ms: int | None = None  # until an upstream takes a request
+    limited_for_ms: int | None = None
+    status: coordination.FingerprintStatus = Status.CLEAR
 
     @property
     def verdict(self) -> state.Verdict:
@@ -46,6 +78,11 @@
             return state.Verdict.MAY_HAVE_RUN
         return state.Verdict.NOT_RUN
 
+    def has_attempt_left(self, route: state.PathRoute) -> bool:
+        """Return whether the route allows another attempt."""
+        counted = len(self.names) - min(self.uncounted, MAX_UNCOUNTED)
+        return counted < max(1, route.max_attempts)
+
 
 class Forwarder:
     """Sends requests to upstreams, with retries where that is safe.
@@ -64,6 +101,8 @@
         Chooses among the services of a split route.
     limits : upstream_limits.UpstreamLimits
         Permits for upstreams that have named a limit.
+    guard : crash_guard.CrashGuard
+        Restricts requests that may crash upstreams.
     """
 
     def __init__(
@@ -74,6 +113,7 @@
         balancer: serving.LeastExpectedTime,
         rng: random.Random,
         limits: upstream_limits.UpstreamLimits,
+        guard: crash_guard.CrashGuard,
     ) -> None:
         self.clock = clock
         self.sampler_view = sampler_view
@@ -81,6 +121,7 @@
         self.balancer = balancer
         self.rng = rng
         self.limits = limits
+        self.guard = guard
 
     async def handle(
         self, call: ingress.ForwardedCall, route: state.PathRoute
@@ -91,11 +132,8 @@
         deadline_ms = started_ms + allowed_ms - RESPONSE_MARGIN_MS
         service = self._pick_service(route)
         history = _AttemptHistory()
-        if isinstance(call.body, bytes):
-            hasher = call.hasher()
-            hasher.update(call.body)
-            history.fingerprint = hasher.fingerprint()
-        while len(history.names) < max(1, route.max_attempts):
+        identified = await self.guard.identify(call)
+        while history.has_attempt_left(route):
             remaining_ms = deadline_ms - self.clock.now_ms()
             if remaining_ms < MIN_ATTEMPT_MS:
                 history.detail = f"no time left after {history.detail}"
@@ -105,14 +143,22 @@
                 route.priority,
                 remaining_ms - remaining_ms // SERVICE_SHARE,
             )
-            sampler = await self._choose_sampler(service, history, need)
+            history.status = self.guard.status_of(identified.fingerprint)
+            if history.status in (Status.QUARANTINED, Status.ON_HOLD):
+                break
+            sampler = await self._choose_sampler(
+                service, identified, history, need
+            )
+            if sampler is None and history.status is Status.SUSPECT:
+                await asyncio.sleep(SUSPECT_WAIT_MS / MS_PER_S)
+                continue
             if sampler is None:
                 break
             history.names.append(sampler.name)
             # Less time is left after a wait for a permit.
             remaining_ms = max(1, deadline_ms - self.clock.now_ms())
             response = await self._attempt(
-                call, route, sampler, remaining_ms, history
+                identified, route, sampler, remaining_ms, history
             )
             if response is not None:
                 eliot.log_message(
@@ -127,10 +173,10 @@
                 return response
             if history.may_have_run and not route.is_repeatable:
                 break
-            if not isinstance(call.body, bytes):
+            if not isinstance(identified.call.body, bytes):
                 # A streamed body is consumed and can't be sent again.
                 break
-        return self._refuse(call, route, history, deadline_ms)
+        return self._refuse(identified, route, history, deadline_ms)
 
     def _pick_service(self, route: state.PathRoute) -> str:
         weights = [target.weight for target in route.targets]
@@ -141,6 +187,7 @@
     async def _choose_sampler(
         self,
         service: str,
+        identified: crash_guard.IdentifiedCall,
         history: _AttemptHistory,
         need: serving.PermitNeed,
     ) -> state.Sampler | None:
@@ -148,7 +195,11 @@
 
         Waits for a permit if all upstreams are limited.
         """
-        available = self.sampler_view.registry.of_service(service)
+        available = self.guard.usable(
+            identified.fingerprint,
+            self.sampler_view.registry.of_service(service),
+            history.names,
+        )
         passes = (history.names, ()) if history.names else ((),)
         for excluded in passes:
             match await self.limits.choose(
@@ -165,15 +216,18 @@
 
     async def _attempt(
         self,
-        call: ingress.ForwardedCall,
+        identified: crash_guard.IdentifiedCall,
         route: state.PathRoute,
         sampler: state.Sampler,
         remaining_ms: int,
         history: _AttemptHistory,
     ) -> http.HttpResponse | None:
         """Send the request once; return None if the attempt failed."""
+        call = identified.call
         started_ms = self.clock.now_ms()
         self.balancer.on_send(sampler)
+        flight = self.guard.begin(identified, sampler)
+        response: http.HttpResponse | None = None
         try:
             sent = await self.client.forward(
                 sampler,
@@ -185,35 +239,54 @@
                 route.is_repeatable,
             )
             match sent:
-                case result.Success(response):
-                    return await self._response_from(
-                        call, route, sampler, response, history
+                case result.Success(answer):
+                    response = await self._response_from(
+                        identified, route, sampler, answer, history
                     )
                 case result.Failure(failure):
-                    self._record_failure(call, sampler, failure, history)
-            return None
+                    await self._on_failure(
+                        identified, sampler, failure, history
+                    )
+            return self._watched(response, flight, identified)
         finally:
+            if response is None or isinstance(response.body, bytes):
+                flight.end()
             self.balancer.on_end(sampler)
             duration_ms = self.clock.now_ms() - started_ms
             if not history.may_have_run:
                 self.balancer.on_answer(sampler, duration_ms)
 
+    def _watched(
+        self,
+        response: http.HttpResponse | None,
+        flight: crash_guard.Flight,
+        identified: crash_guard.IdentifiedCall,
+    ) -> http.HttpResponse | None:
+        """Return a response whose body, if streamed, is watched."""
+        if response is None:
+            return None
+        if isinstance(response.body, bytes):
+            self.guard.on_completed(identified.fingerprint)
+            return response
+        body = self.guard.watch(response.body, flight, identified)
+        return dataclasses.replace(response, body=body)
+
     async def _response_from(
         self,
-        call: ingress.ForwardedCall,
+        identified: crash_guard.IdentifiedCall,
         route: state.PathRoute,
         sampler: state.Sampler,
         response: http_client.UpstreamResponse,
         history: _AttemptHistory,
     ) -> http.HttpResponse | None:
         """Return the upstream's response, or None if the attempt failed."""
-        if not samplers.is_response_to(response, call.id):
+        if not samplers.is_response_to(response, identified.call.id):
             response.close()
             failure = errors.TransportFailure(
                 FailureKind.MALFORMED_RESPONSE,
                 "response belongs to another request",
             )
-            self._record_failure(call, sampler, failure, history)
+            await self._on_failure(identified, sampler, failure, history)
             return None
         if samplers.proves_not_run(response):
             detail = f"refused with status {response.status}"
@@ -221,7 +294,7 @@
             failure = errors.TransportFailure(
                 FailureKind.REFUSED_WITH_PROOF, detail
             )
-            self._record_failure(call, sampler, failure, history)
+            await self._on_failure(identified, sampler, failure, history)
             return None
         headers = samplers.returned_headers(response)
         response.limit_to_timeout()
@@ -235,7 +308,7 @@
             failure = errors.TransportFailure(
                 FailureKind.TRUNCATED_RESPONSE, str(error)
             )
-            self._record_failure(call, sampler, failure, history)
+            await self._on_failure(identified, sampler, failure, history)
             return None
         may_repeat = (
             route.is_repeatable and len(history.names) < route.max_attempts
@@ -244,7 +317,7 @@
             failure = errors.TransportFailure(
                 FailureKind.REFUSED_WITHOUT_PROOF, "status 500"
             )
-            self._record_failure(call, sampler, failure, history)
+            await self._on_failure(identified, sampler, failure, history)
             return None
         if response.ended:
             return http.HttpResponse(response.status, headers, body)
@@ -253,13 +326,15 @@
             response.status, headers, _remaining_body(body, response)
         )
 
-    def _record_failure(
+    async def _on_failure(
         self,
-        call: ingress.ForwardedCall,
+        identified: crash_guard.IdentifiedCall,
         sampler: state.Sampler,
         failure: errors.TransportFailure,
         history: _AttemptHistory,
     ) -> None:
+        """Record a failed attempt, and find out whether it was a crash."""
+        request_id = identified.call.id
         verdict = retries.verdict_of(failure.kind)
         if verdict is not state.Verdict.NOT_RUN:
             history.may_have_run = True
@@ -267,18 +342,23 @@
         self.balancer.on_failure(sampler)
         eliot.log_message(
             "attempt-failed",
-            request=call.id,
+            request=request_id,
             upstream=sampler.name,
             born_ms=sampler.born_ms,
-            fingerprint=history.fingerprint,
+            fingerprint=identified.fingerprint,
             kind=failure.kind.value,
             detail=failure.detail[:200],
             verdict=verdict.value,
         )
+        if failure.kind is FailureKind.CONNECT_REFUSED:
+            history.uncounted += 1
+        if failure.kind in LOST_KINDS:
+            has_crashed = await self.guard.on_lost(sampler, request_id)
+            history.uncounted += has_crashed
 
     def _refuse(
         self,
-        call: ingress.ForwardedCall,
+        identified: crash_guard.IdentifiedCall,
         route: state.PathRoute,
         history: _AttemptHistory,
         deadline_ms: int,
@@ -291,15 +371,27 @@
             reason = state.Reason.NO_UPSTREAM
         if history.limited_for_ms is not None and not history.may_have_run:
             reason = state.Reason.UPSTREAM_LIMITED
+        if history.status in (Status.QUARANTINED, Status.ON_HOLD):
+            reason = state.Reason.QUARANTINED
+        fingerprint = identified.fingerprint
         eliot.log_message(
             "request-refused",
-            request=call.id,
+            request=identified.call.id,
+            fingerprint=fingerprint,
+            restriction=history.status.value,
+            crashes=self.guard.guard.crashes_of(fingerprint),
             route=route.name,
             reason=reason.value,
             verdict=history.verdict.value,
             tried=history.names,
             detail=history.detail,
         )
+        if reason is state.Reason.QUARANTINED:
+            return ingress.refusal_response(
+                quarantines.quarantined_refusal(
+                    history.verdict, self.guard.retry_after_ms(fingerprint)
+                )
+            )
         retry_ms = None
         if not history.may_have_run:
             retry_ms = max(RETRY_AFTER_MS, history.limited_for_ms or 0)
--- a/poplarloft/daemon/serving/peer_link.py
+++ b/poplarloft/daemon/serving/peer_link.py
@@ -1,5 +1,6 @@
 """Messages between serving daemons, dispatched by type to handlers."""
 
+import asyncio
 from collections import abc
 import typing
 
@@ -12,6 +13,9 @@
 
 __all__ = ["PeerLink"]
 
+CONNECT_RETRY_MS = 20
+CONNECT_RETRIES = 20
+MS_PER_S = 1_000
 M = typing.TypeVar("M", bound=state.ServingMessage)
 
 
@@ -52,6 +56,26 @@
         data = serving_messages.encode_message(message)
         return self.sockets.send(address, data, is_bulk=is_bulk)
 
+    def send_reliably(
+        self,
+        address: state.Address,
+        message: state.ServingMessage,
+        retries: int = CONNECT_RETRIES,
+    ) -> None:
+        """Send a message, which may have to wait for a connection.
+
+        A message is not queued before the connection to its receiver exists.
+        """
+        if self.send(address, message) or not retries:
+            return
+        asyncio.get_running_loop().call_later(
+            CONNECT_RETRY_MS / MS_PER_S,
+            self.send_reliably,
+            address,
+            message,
+            retries - 1,
+        )
+
     def disconnect(self, address: state.Address) -> None:
         """Close the connection to a peer."""
         self.sockets.disconnect(address)
--- a/poplarloft/daemon/serving/permit_link.py
+++ b/poplarloft/daemon/serving/permit_link.py
@@ -15,9 +15,6 @@
 ANSWER_TIMEOUT_MS = 400
 SUSPECT_MS = 2_000  # an issuer that did not answer is not asked meanwhile
 NOTICE_DELAY_MS = 100  # changes of that time share a message
-# A message is not queued before the connection to its receiver exists.
-CONNECT_RETRY_MS = 20
-CONNECT_RETRIES = 20
 MS_PER_S = 1_000
 Members = abc.Callable[[], abc.Mapping[str, state.PeerRecord]]
 
@@ -150,7 +147,7 @@
         """Send a request to an issuer; return its answer if one comes."""
         future = asyncio.get_running_loop().create_future()
         self.pending[request.ticket] = future
-        self._send(address, request)
+        self.peers.send_reliably(address, request)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_MS / MS_PER_S):
                 answer: state.PermitAnswer = await future
@@ -175,7 +172,7 @@
             permit.wait_ms,
             known or request.report,
         )
-        self._send(request.address, answer)
+        self.peers.send_reliably(request.address, answer)
 
     def _on_answer(self, answer: state.PermitAnswer) -> None:
         future = self.pending.get(answer.ticket)
@@ -218,21 +215,5 @@
                 reports.setdefault(address, []).append(known)
         self.changed.clear()
         for address, known_reports in reports.items():
-            self._send(address, state.LimitNotice(tuple(known_reports)))
-
-    def _send(
-        self,
-        address: state.Address,
-        message: state.ServingMessage,
-        retries: int = CONNECT_RETRIES,
-    ) -> None:
-        """Send a message, which may have to wait for a connection."""
-        if self.peers.send(address, message) or not retries:
-            return
-        asyncio.get_running_loop().call_later(
-            CONNECT_RETRY_MS / MS_PER_S,
-            self._send,
-            address,
-            message,
-            retries - 1,
-        )
+            notice = state.LimitNotice(tuple(known_reports))
+            self.peers.send_reliably(address, notice)
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -204,6 +204,8 @@
 
     Attributes
     ----------
+    listeners : list of callable
+        Called after the peers were listed.
     peers_address : state.Address or None
         Address at which this daemon gets messages, if it does.
     """
@@ -222,6 +224,7 @@
         self.peers_address: state.Address | None = None
         self.feed: feed_link.FeedLink | None = None
         self.members: dict[str, state.PeerRecord] = {}
+        self.listeners: list[abc.Callable[[], None]] = []
         self.relayed_calls = 0
         self.server = http_server.HttpServer(
             self.handle,
@@ -333,6 +336,8 @@
                 if name != self.name
             }
         )
+        for listener in self.listeners:
+            listener()
 
 
 def _wait_ms(request: http.HttpRequest) -> int:
--- a/poplarloft/daemon/tests/test_snapshots.py
+++ b/poplarloft/daemon/tests/test_snapshots.py
@@ -25,7 +25,7 @@
     return snapshots.SnapshotService(
         folder,
         head_service,
-        coordination.PoisonGuard(clock, clock, "a#1"),
+        coordination.PoisonGuard(clock, clock),
         usage.UsageService(None, meter, clock, "norte-a", 1_000),
     )
 
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -30,6 +30,7 @@
 STALE_FENCE = 412
 MISDIRECTED = 421
 CALL_TIMEOUT_MS = 1_000
+PROBE_TIMEOUT_MS = 300
 MAX_REPORT_BYTES = 262_144
 MAX_DISCARDED_BYTES = 16_384
 FailureKind = retries.FailureKind
@@ -52,6 +53,12 @@
     num_running: int = 0
 
 
+class _Birth(msgspec.Struct):
+    """The part of a report that names the run."""
+
+    born: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineReport:
     """State that an engine reports, a few hundred milliseconds old.
@@ -254,6 +261,24 @@
                 response.close()
         return None
 
+    async def probe(self, sampler: state.Sampler) -> state.ProbeOutcome:
+        """Ask an upstream over a new connection whether its run goes on."""
+        sent = await self.client.send(
+            sampler.address,
+            "GET",
+            names.REPORT_PATH,
+            ((names.EXPECT_INSTANCE, sampler.name),),
+            timeout_ms=PROBE_TIMEOUT_MS,
+            new_connection=True,
+        )
+        match sent:
+            case result.Success(response):
+                return await _probe_outcome(sampler, response)
+            case result.Failure(failure):
+                if failure.kind is FailureKind.CONNECT_REFUSED:
+                    return state.ProbeOutcome.REFUSED
+        return state.ProbeOutcome.SILENT
+
     async def _send(
         self,
         sampler: state.Sampler,
@@ -310,6 +335,26 @@
     return EngineReport(versions, row.busy, row.sequence)
 
 
+async def _probe_outcome(
+    sampler: state.Sampler, response: http_client.UpstreamResponse
+) -> state.ProbeOutcome:
+    """Return what the response to a probe says of the upstream's run."""
+    name = response.headers.get(names.INSTANCE_ID, sampler.name)
+    if response.status == MISDIRECTED or name != sampler.name:
+        response.close()
+        return state.ProbeOutcome.OTHER_RUN
+    try:
+        body = await response.read(MAX_REPORT_BYTES)
+        born_ms = msgspec.json.decode(body, type=_Birth).born
+    except http_client.TruncatedResponseError:
+        return state.ProbeOutcome.SILENT
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return state.ProbeOutcome.ANSWERED
+    if born_ms == sampler.born_ms:
+        return state.ProbeOutcome.SAME_RUN
+    return state.ProbeOutcome.OTHER_RUN
+
+
 def proves_not_run(response: http_client.UpstreamResponse) -> bool:
     """Return whether the upstream states that it did not run the request."""
     return names.NOT_RUN in response.headers or response.status == MISDIRECTED
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "BATCHES_PREFIX",
     "CHECKPOINTS_PREFIX",
+    "CRASHES_PREFIX",
     "ENDED_PREFIX",
     "LEADER_KEY",
     "LOTS_PREFIX",
@@ -19,18 +20,22 @@
     "batches_prefix",
     "check_lot_id",
     "checkpoint_key",
+    "crash_key",
     "decode_batch",
     "decode_checkpoints",
+    "decode_crashes",
     "decode_head",
     "decode_record",
     "encode_batch",
     "encode_checkpoints",
+    "encode_crashes",
     "encode_head",
     "encode_record",
     "ended_key",
     "head_key",
     "lot_key",
     "member_key",
+    "parse_crash_key",
     "parse_ended_key",
     "parse_lot_key",
 ]
@@ -44,12 +49,14 @@
 CHECKPOINTS_PREFIX = "texts/"
 MEMBERS_PREFIX = "members/"
 ENDED_PREFIX = "ended/"
+CRASHES_PREFIX = "crashes/"
 LOT_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 HEAD_NUMBER = 0
 
 _RECORD = msgspec.msgpack.Decoder(state.LotRecord)
 _BATCH = msgspec.msgpack.Decoder(tuple[state.LotResult, ...])
 _CHECKPOINTS = msgspec.msgpack.Decoder(tuple[state.CheckpointIncrement, ...])
+_CRASHES = msgspec.msgpack.Decoder(state.CrashNotice)
 _HEAD = msgspec.msgpack.Decoder(int)
 
 
@@ -97,6 +104,28 @@
     return f"{CHECKPOINTS_PREFIX}{fence:015d}/{number:06d}"
 
 
+def crash_key(at_ms: int, name: str, number: int) -> str:
+    """Return the key of an instance's news of crashes.
+
+    The keys sort by the Unix time at which they were written.
+    """
+    return f"{CRASHES_PREFIX}{at_ms:015d}/{name}/{number}"
+
+
+def parse_crash_key(key: str) -> int:
+    """Return the Unix time in milliseconds at which news were written.
+
+    Raises
+    ------
+    FieldError
+        If it is not a key of news.
+    """
+    digits = key.removeprefix(CRASHES_PREFIX).partition("/")[0]
+    if not digits.isdecimal():
+        raise errors.FieldError("crash key", f"no time in {key[:80]!r}")
+    return int(digits)
+
+
 def batches_prefix(lot_id: str) -> str:
     """Return the prefix of the keys of a lot's results."""
     return f"{BATCHES_PREFIX}{lot_id}/"
@@ -176,3 +205,16 @@
         return _CHECKPOINTS.decode(value)
     except msgspec.MsgspecError as error:
         raise errors.FieldError("checkpoint batch", str(error)) from error
+
+
+def encode_crashes(notice: state.CrashNotice) -> bytes:
+    """Return the encoded value of an instance's news of crashes."""
+    return msgspec.msgpack.encode(notice)
+
+
+def decode_crashes(value: bytes) -> state.CrashNotice:
+    """Return news of crashes; raises `FieldError` if malformed."""
+    try:
+        return _CRASHES.decode(value)
+    except msgspec.MsgspecError as error:
+        raise errors.FieldError("crash notice", str(error)) from error
--- a/poplarloft/protocol/peers.py
+++ b/poplarloft/protocol/peers.py
@@ -53,18 +53,13 @@
     holder: str
 
 
-class _CrashCount(_Wire, tag="s"):
-    """Encoded `state.CrashCountUpdate`.
-
-    `witness` is the observing incarnation, `strikes` the number of
-    crashes and `alone` the number of crashes in which the request was the
-    only suspect.
-    """
+class _Crash(_Wire, tag="c"):
+    """Encoded `state.CrashUpdate`."""
 
     fingerprint: str
-    witness: str
-    strikes: int
-    alone: int
+    upstream: str
+    incarnation: int
+    is_sole_suspect: bool
 
 
 class _Cleared(_Wire, tag="a"):
@@ -72,6 +67,7 @@
 
     fingerprint: str
     at_ms: int
+    runs: list[tuple[str, int]]
 
 
 class _Quarantine(_Wire, tag="q"):
@@ -91,9 +87,7 @@
     counters: list[tuple[str, str, str, int]]
 
 
-_Update = (
-    _Member | _Leaving | _Head | _CrashCount | _Cleared | _Quarantine | _Usage
-)
+_Update = _Member | _Leaving | _Head | _Crash | _Cleared | _Quarantine | _Usage
 
 
 class _Ping(_Wire, tag="P"):
@@ -296,14 +290,10 @@
             return _Leaving(upstream, incarnation)
         case state.HeadUpdate(revision, holder):
             return _Head(revision, holder)
-        case state.CrashCountUpdate(
-            fingerprint, observer, crashes, sole_suspect_crashes
-        ):
-            return _CrashCount(
-                fingerprint, observer, crashes, sole_suspect_crashes
-            )
-        case state.ClearedUpdate(fingerprint, at_ms):
-            return _Cleared(fingerprint, at_ms)
+        case state.CrashUpdate(fingerprint, upstream, incarnation, is_sole):
+            return _Crash(fingerprint, upstream, incarnation, is_sole)
+        case state.ClearedUpdate(fingerprint, at_ms, runs):
+            return _Cleared(fingerprint, at_ms, list(runs))
         case state.QuarantineUpdate(fingerprint, until_ms, generation):
             return _Quarantine(fingerprint, until_ms, generation)
         case state.UsageUpdate(instance, incarnation, total, counters):
@@ -333,12 +323,12 @@
             return state.LeavingUpdate(upstream, incarnation)
         case _Head(revision, holder):
             return state.HeadUpdate(revision, holder)
-        case _CrashCount(fingerprint, observer, crashes, sole_suspect_crashes):
-            return state.CrashCountUpdate(
-                fingerprint, observer, crashes, sole_suspect_crashes
+        case _Crash(fingerprint, upstream, incarnation, is_sole):
+            return state.CrashUpdate(
+                fingerprint, upstream, incarnation, is_sole
             )
-        case _Cleared(fingerprint, at_ms):
-            return state.ClearedUpdate(fingerprint, at_ms)
+        case _Cleared(fingerprint, at_ms, runs):
+            return state.ClearedUpdate(fingerprint, at_ms, tuple(runs))
         case _Quarantine(fingerprint, until_ms, generation):
             return state.QuarantineUpdate(fingerprint, until_ms, generation)
         case _Usage(instance, incarnation, total, counters):
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -34,6 +34,7 @@
     state.LimitNotice,
     state.PermitRequest,
     state.PermitAnswer,
+    state.CrashNotice,
 ]
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _DECODERS = [
--- a/poplarloft/protocol/tests/test_peers.py
+++ b/poplarloft/protocol/tests/test_peers.py
@@ -29,8 +29,15 @@
     ),
     strategies.builds(state.LeavingUpdate, names, numbers),
     strategies.builds(state.HeadUpdate, numbers, names),
-    strategies.builds(state.CrashCountUpdate, names, names, numbers, numbers),
-    strategies.builds(state.ClearedUpdate, names, numbers),
+    strategies.builds(
+        state.CrashUpdate, names, names, numbers, strategies.booleans()
+    ),
+    strategies.builds(
+        state.ClearedUpdate,
+        names,
+        numbers,
+        strategies.lists(strategies.tuples(names, numbers)).map(tuple),
+    ),
     strategies.builds(state.QuarantineUpdate, names, numbers, numbers),
     strategies.builds(
         state.UsageUpdate,
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -21,12 +21,14 @@
 from poplarloft.state.configuration import ReleaseBody
 from poplarloft.state.configuration import RouteBody
 from poplarloft.state.configuration import WeightsBody
+from poplarloft.state.crashes import CrashNotice
+from poplarloft.state.crashes import ProbeOutcome
 from poplarloft.state.feeds import FeedAnswer
 from poplarloft.state.feeds import FeedPart
 from poplarloft.state.feeds import FeedRequest
 from poplarloft.state.feeds import PeerRecord
 from poplarloft.state.gossip_updates import ClearedUpdate
-from poplarloft.state.gossip_updates import CrashCountUpdate
+from poplarloft.state.gossip_updates import CrashUpdate
 from poplarloft.state.gossip_updates import GossipUpdate
 from poplarloft.state.gossip_updates import HeadUpdate
 from poplarloft.state.gossip_updates import LeavingUpdate
@@ -127,7 +129,8 @@
     "ClearedUpdate",
     "Clock",
     "Configuration",
-    "CrashCountUpdate",
+    "CrashNotice",
+    "CrashUpdate",
     "Document",
     "DocumentKind",
     "Entry",
@@ -177,6 +180,7 @@
     "PermitRequest",
     "Ping",
     "Pong",
+    "ProbeOutcome",
     "Proposal",
     "ProposalState",
     "Put",
--- a/poplarloft/state/feeds.py
+++ b/poplarloft/state/feeds.py
@@ -56,12 +56,15 @@
     positions : dict of str to int
         Revision per prefix, up to which the requesting daemon knows all
         changes.
+    digest : int
+        Digest of what the requesting daemon knows of crashes.
     """
 
     name: str
     address: identity.Address
     sent_at_ms: int
     positions: dict[str, int]
+    digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,8 +94,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedAnswer:
-    """Answer to a `FeedRequest`, of which it repeats `sent_at_ms`."""
+    """Answer to a `FeedRequest`, of which it repeats `sent_at_ms`.
+
+    `digest` is that of what the answering daemon knows of crashes.
+    """
 
     name: str
     sent_at_ms: int
     parts: tuple[FeedPart, ...]
+    digest: int = 0
--- a/poplarloft/state/gossip_updates.py
+++ b/poplarloft/state/gossip_updates.py
@@ -10,7 +10,7 @@
 
 __all__ = [
     "ClearedUpdate",
-    "CrashCountUpdate",
+    "CrashUpdate",
     "GossipUpdate",
     "HeadUpdate",
     "LeavingUpdate",
@@ -60,52 +60,68 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CrashCountUpdate:
-    """Crashes that an instance observed with a fingerprint in flight.
+class CrashUpdate:
+    """Crash of an upstream's run while a fingerprint was in flight on it.
+
+    Several instances may observe the same crash; it counts once.
 
     Parameters
     ----------
     fingerprint : str
         Identifies the request.
-    observer : str
-        The observing instance and its incarnation.
-    crashes : int
-        Number of crashes while the request was in flight.
-    sole_suspect_crashes : int
-        Those of them in which the request was the only suspect.
+    upstream : str
+        Name of the upstream.
+    incarnation : int
+        Identifies the run of the upstream that ended.
+    is_sole_suspect : bool
+        Whether the observer had no other suspect in flight there.
     """
 
     fingerprint: str
-    observer: str
-    crashes: int
-    sole_suspect_crashes: int
+    upstream: str
+    incarnation: int
+    is_sole_suspect: bool
+
+    @property
+    def run(self) -> tuple[str, int]:
+        """The run of the upstream that ended."""
+        return self.upstream, self.incarnation
 
     @property
     def key(self) -> tuple[str, str]:
         """Subject of the update; newer updates replace it."""
-        return ("strike", f"{self.fingerprint}/{self.observer}")
+        subject = f"{self.fingerprint}/{self.upstream}#{self.incarnation}"
+        return ("crash", subject)
 
     @property
     def order(self) -> tuple[int, ...]:
-        """Precedence among updates with this key; the larger wins."""
-        return (self.crashes, self.sole_suspect_crashes)
+        """Precedence among updates with this key; another suspect wins."""
+        return (not self.is_sole_suspect,)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClearedUpdate:
     """Notice that a suspected request ran to completion.
 
-    Its earlier crashes are no longer counted. `at_ms` is the Unix time of
-    its completion.
+    Parameters
+    ----------
+    fingerprint : str
+        Identifies the request.
+    at_ms : int
+        Unix time of its completion.
+    runs : tuple of (str, int)
+        The upstreams' runs whose crashes count no more, earlier ones
+        included.
     """
 
     fingerprint: str
     at_ms: int
+    runs: tuple[tuple[str, int], ...]
 
     @property
     def key(self) -> tuple[str, str]:
         """Subject of the update; newer updates replace it."""
-        return ("absolved", self.fingerprint)
+        return ("cleared", self.fingerprint)
 
     @property
     def order(self) -> tuple[int, ...]:
@@ -180,7 +196,7 @@
     membership.MemberRecord
     | LeavingUpdate
     | HeadUpdate
-    | CrashCountUpdate
+    | CrashUpdate
     | ClearedUpdate
     | QuarantineUpdate
     | UsageUpdate
--- a/poplarloft/state/serving_messages.py
+++ b/poplarloft/state/serving_messages.py
@@ -1,5 +1,6 @@
 """The union of all messages between serving daemons."""
 
+from poplarloft.state import crashes
 from poplarloft.state import feeds
 from poplarloft.state import standby
 from poplarloft.state import upstream_limits
@@ -20,4 +21,5 @@
     | upstream_limits.LimitNotice
     | upstream_limits.PermitRequest
     | upstream_limits.PermitAnswer
+    | crashes.CrashNotice
 )
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -243,6 +243,7 @@
                 "models": models,
                 "busy": False,
                 "sequence": len(self.orders),
+                "born": self.born_ms,
             }
         )
 
--- a/tests/test_serving_poison.py
+++ b/tests/test_serving_poison.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from poplarloft.daemon.serving import peer_link
 from poplarloft.daemon.serving import store_relay
 from tests import serving_fleet
 
@@ -28,10 +29,18 @@
         service.work_ms = 30.0
         service.on_restart = functools.partial(made.announce, service)
     await made.start(entries=4, bulks=2)
+    await know_each_other(made)
     yield made
     await made.stop()
 
 
+async def know_each_other(fleet):
+    daemons = (*fleet.entries, *fleet.bulks)
+    await serving_fleet.eventually(
+        lambda: all(len(d.relay.members) == len(daemons) for d in daemons)
+    )
+
+
 async def call(fleet, request_id, body, number):
     """Send a request to one of the entries; return its status."""
     entry = fleet.entries[number % len(fleet.entries)]
@@ -131,3 +140,89 @@
         await restart_everything(fleet)
         await send_poison(fleet, 3)
     assert len(late_runs(fleet)) <= RETRIES_ALLOWED
+
+
+LARGE = 300_000  # bytes; such bodies are streamed
+
+
+async def test_a_streamed_body_is_recognized_as_well(fleet):
+    body = b"x" * LARGE + MARKER
+    for number in range(8):
+        await call(fleet, f"poison-{number}", body, number)
+        await asyncio.sleep(0.2)
+    assert len(crash_times(fleet)) == 3
+    assert await call(fleet, "large", b"y" * LARGE, 0) == 200
+
+
+def statuses(fleet):
+    return {
+        status
+        for entry in fleet.entries
+        for fingerprint in entry.guard.guard.histories
+        if (status := entry.guard.status_of(fingerprint))
+    }
+
+
+async def test_a_connection_reset_by_the_network_is_no_crash(fleet):
+    for service in fleet.services[:2]:
+        service.resets = 1
+    answered = [await call(fleet, f"r{n}", b"same", n) for n in range(8)]
+    assert answered.count(200) >= 7
+    assert statuses(fleet) == set()
+    assert all(not entry.guard.lost.pending for entry in fleet.entries)
+
+
+async def test_a_rolling_restart_accuses_no_request(fleet):
+    for service in fleet.services[:3]:
+        service.work_ms = 2_000.0
+        pending = [
+            asyncio.ensure_future(call(fleet, f"{service.name}-{n}", b"b", n))
+            for n in range(12)
+        ]
+        await asyncio.sleep(0.1)
+        await fleet.announce(service, is_leaving=True)
+        await asyncio.sleep(1.5)
+        service.crash()
+        service.work_ms = 30.0
+        answered = await asyncio.gather(*pending)
+        assert answered.count(200) >= 11
+    assert statuses(fleet) == set()
+
+
+async def test_news_lost_between_instances_come_from_the_store(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(
+        peer_link.PeerLink, "send_reliably", lambda *arguments: None
+    )
+    await send_poison(fleet, 8)
+    assert len(late_runs(fleet)) <= RETRIES_ALLOWED
+
+
+async def test_news_come_from_instances_while_the_store_is_down(fleet):
+    fleet.store.is_down = True
+    await send_poison(fleet, 3)
+    assert len(crash_times(fleet)) == 3
+    fleet.store.is_down = False
+    await asyncio.sleep(1)
+    await restart_entries(fleet)
+    await send_poison(fleet, 2)
+    assert len(crash_times(fleet)) == 3
+
+
+async def test_a_quarantined_request_is_refused_at_once_as_not_run(fleet):
+    await send_poison(fleet, 1)
+    headers = (("x-request-id", "again"), ("x-deadline-ms", "2500"))
+    started_s = time.monotonic()
+    status, returned, body = await fleet.call("POST", "/p/1", MARKER, headers)
+    assert time.monotonic() - started_s < 0.5
+    assert status == 503
+    assert float(returned["retry-after"]) > 3_000
+    assert b"quarantined" in body
+    assert not any("again" in s.runs for s in fleet.services)
+
+
+async def test_a_request_that_may_run_once_is_not_repeated_by_a_crash(fleet):
+    status, _, _ = await fleet.call("POST", "/once/1", MARKER)
+    assert status == 502
+    assert sum(len(service.crashes) for service in fleet.services) == 1
