List and release quarantines; play crashers in the soak

poplarloft quarantines and release read and write the store's records of crashes. Counters for crashes by evidence and for quarantines. The soak sends a request that crashes each service that runs it, and checks how often it comes again later than 4 s after the third crash. Pages of the store are listed in one place.

--- a/poplarloft/cli/commands.py
+++ b/poplarloft/cli/commands.py
@@ -12,6 +12,7 @@
 from poplarloft.cli import config_commands
 from poplarloft.cli import explain_command
 from poplarloft.cli import key_commands
+from poplarloft.cli import quarantine_commands
 from poplarloft.cli import usage_commands
 from poplarloft.protocol import settings
 from poplarloft import state
@@ -151,6 +152,7 @@
 ALL_COMMANDS = [
     *config_commands.CONFIG_COMMANDS,
     *key_commands.KEY_COMMANDS,
+    *quarantine_commands.QUARANTINE_COMMANDS,
     *usage_commands.USAGE_COMMANDS,
     Demo,
     Drain,
--- a/poplarloft/coordination/__init__.py
+++ b/poplarloft/coordination/__init__.py
@@ -59,6 +59,7 @@
 from poplarloft.coordination.membership import Membership
 from poplarloft.coordination.poison import CrashHistory
 from poplarloft.coordination.poison import FingerprintStatus
+from poplarloft.coordination.poison import PLATFORM_POISON_SETTINGS
 from poplarloft.coordination.poison import PoisonGuard
 from poplarloft.coordination.poison import PoisonSettings
 from poplarloft.coordination.probing import Probe
@@ -168,6 +169,7 @@
     "OwnerShare",
     "per_instance_limit",
     "planned_staleness",
+    "PLATFORM_POISON_SETTINGS",
     "PoisonGuard",
     "PoisonSettings",
     "prefix_blocks",
--- a/poplarloft/coordination/poison.py
+++ b/poplarloft/coordination/poison.py
@@ -20,6 +20,7 @@
 __all__ = [
     "CrashHistory",
     "FingerprintStatus",
+    "PLATFORM_POISON_SETTINGS",
     "PoisonGuard",
     "PoisonSettings",
     "Run",
@@ -59,6 +60,11 @@
     max_fingerprints: int = 4_096
 
 
+# Requests of many callers share the upstreams, so that several unrelated
+# crashes may hit a request that has caused none.
+PLATFORM_POISON_SETTINGS = PoisonSettings(sole_suspect_limit=3)
+
+
 class FingerprintStatus(enum.Enum):
     """Restriction on running requests of a fingerprint.
 
@@ -266,6 +272,15 @@
                 if update.until_ms == 0:
                     self._clear_all(fingerprint)
 
+    def restore(self, updates: abc.Iterable[state.GossipUpdate]) -> None:
+        """Apply recorded updates, in any order.
+
+        Quarantines come last, so that a release clears the crashes that led
+        to its quarantine.
+        """
+        for update in sorted(updates, key=_application_order):
+            self.on_update(update)
+
     def release(self, fingerprint: str) -> state.QuarantineUpdate:
         """End a quarantine at an operator's request and clear its crashes."""
         known = self.quarantined.get(fingerprint)
@@ -381,3 +396,9 @@
         if history.cleared:
             keys.append(state.ClearedUpdate(fingerprint, 0, ()).key)
         return keys
+
+
+def _application_order(update: state.GossipUpdate) -> tuple[int, ...]:
+    if isinstance(update, state.QuarantineUpdate):
+        return 1, *update.order
+    return (0,)
--- a/poplarloft/daemon/serving/crash_news.py
+++ b/poplarloft/daemon/serving/crash_news.py
@@ -17,6 +17,7 @@
 from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import peer_link
 from poplarloft.daemon import tasks
+from poplarloft.platform import store as platform_store
 from poplarloft.protocol import errors
 from poplarloft.protocol import lot_records
 from poplarloft import state
@@ -139,9 +140,11 @@
     def on_peers(self) -> None:
         """Read the store again once other instances are known.
 
-        News of the time before have reached neither.
+        News of the time before have reached neither. While there are
+        quarantines it is read after each listing, as an operator may have
+        released one.
         """
-        if not self.has_peers:
+        if not self.has_peers or self.guard.quarantined:
             self.has_peers = True
             self.is_wanted.set()
 
@@ -158,19 +161,17 @@
 
     async def _read(self) -> bool:
         """Apply all news of the store; return whether all were read."""
-        entries: list[state.Entry] = []
-        has_more = True
-        while has_more:
-            after = entries[-1].key if entries else ""
-            page = await self.store.list_page(
-                lot_records.CRASHES_PREFIX, after
-            )
-            match page:
-                case result.Success(state.Page() as found):
-                    entries += found.entries
-                    has_more = found.has_more and bool(found.entries)
-                case _:
-                    return False
+        listed = await platform_store.list_all(
+            self.store, lot_records.CRASHES_PREFIX
+        )
+        match listed:
+            case result.Success(entries):
+                await self._apply_entries(entries)
+                return True
+        return False
+
+    async def _apply_entries(self, entries: list[state.Entry]) -> None:
+        """Apply news of the store, and remove those that have expired."""
         expired = self._apply(entries)
         if entries:
             eliot.log_message(
@@ -182,14 +183,9 @@
             )
         if expired:
             await self.store.write([], [], expired[:MAX_DELETES])
-        return True
 
     def _apply(self, entries: abc.Iterable[state.Entry]) -> list[str]:
-        """Apply news of the store; return the keys of expired ones.
-
-        Quarantines come last: a release ends those whose crashes have been
-        applied.
-        """
+        """Apply news of the store; return the keys of expired ones."""
         settings = self.guard.settings
         kept_ms = settings.quarantine_ms + settings.retention_ms
         expired = []
@@ -207,9 +203,7 @@
                 expired.append(entry.key)
             else:
                 updates += notice.updates()
-        updates.sort(key=_application_order)
-        for update in updates:
-            self.guard.on_update(update)
+        self.guard.restore(updates)
         return expired
 
     async def _publish_news(self) -> None:
@@ -278,12 +272,6 @@
             self.guard.drop_expired()
 
 
-def _application_order(update: state.GossipUpdate) -> tuple[int, ...]:
-    if isinstance(update, state.QuarantineUpdate):
-        return 1, *update.order
-    return (0,)
-
-
 def _clears(cleared: state.ClearedUpdate, crash: state.CrashUpdate) -> bool:
     is_same = cleared.fingerprint == crash.fingerprint
     return is_same and crash.run in cleared.runs
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -29,7 +29,6 @@
 
 MS_PER_S = 1_000
 EXIT_MARGIN_MS = 500
-CRASH_LIMIT = 3
 START_RETRY_MS = 100  # about the duration of the first listing of the store
 # Pause between two watches, as a fraction of the time allowed to notice that
 # an upstream is leaving.
@@ -84,10 +83,11 @@
     def _make_guard(
         self, client: samplers.SamplerClient
     ) -> crash_guard.CrashGuard:
-        settings = coordination.PoisonSettings(
-            sole_suspect_limit=CRASH_LIMIT, crash_limit=CRASH_LIMIT
+        guard = coordination.PoisonGuard(
+            self.clock,
+            self.wall_clock,
+            coordination.PLATFORM_POISON_SETTINGS,
         )
-        guard = coordination.PoisonGuard(self.clock, self.wall_clock, settings)
         news = crash_news.CrashNews(
             self.clock,
             self.wall_clock,
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -299,20 +299,12 @@
             await asyncio.sleep(LIST_INTERVAL_MS / MS_PER_S)
 
     async def _list_peers(self) -> None:
-        entries: list[state.Entry] = []
-        has_more = True
-        while has_more:
-            after = entries[-1].key if entries else ""
-            page = await self.store.list_page(
-                lot_records.MEMBERS_PREFIX, after, allow_stale=True
-            )
-            match page:
-                case result.Success(state.Page() as found):
-                    entries += found.entries
-                    has_more = found.has_more and bool(found.entries)
-                case _:
-                    return
-        self._apply_members(entries)
+        listed = await platform_store.list_all(
+            self.store, lot_records.MEMBERS_PREFIX, allow_stale=True
+        )
+        match listed:
+            case result.Success(entries):
+                self._apply_members(entries)
 
     def _apply_members(self, entries: list[state.Entry]) -> None:
         members = {}
--- a/poplarloft/daemon/serving/telemetry.py
+++ b/poplarloft/daemon/serving/telemetry.py
@@ -93,12 +93,14 @@
             self.page.durations.labels(kind, request_class).observe(
                 message["duration_ms"]
             )
-        self._count_limits(kind, message)
+        self._count_upstreams(kind, message)
         if self.rate_limiter.allows(kind, is_failure):
             self.output.write(_encode(message))
 
-    def _count_limits(self, kind: str, message: dict[str, typing.Any]) -> None:
-        """Keep the metrics of upstreams that have named a limit."""
+    def _count_upstreams(
+        self, kind: str, message: dict[str, typing.Any]
+    ) -> None:
+        """Keep the metrics of upstreams: limits, permits and crashes."""
         upstream = message.get("upstream", "")
         match kind:
             case "limit-named":
@@ -107,6 +109,10 @@
             case "limit-ended":
                 with contextlib.suppress(KeyError):
                     self.page.limits.remove(upstream)
+            case "upstream-crashed":
+                self.page.crashes.labels(message["evidence"]).inc()
+            case "quarantine":
+                self.page.quarantines.inc()
             case "permit":
                 outcome = message["outcome"]
                 self.page.permits.labels(upstream, outcome).inc()
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -14,7 +14,7 @@
 from poplarloft.transport import errors
 from poplarloft.transport import http_client
 
-__all__ = ["MAX_ANSWER_BYTES", "PlatformStore"]
+__all__ = ["MAX_ANSWER_BYTES", "PlatformStore", "list_all"]
 
 WATCH_MARGIN_MS = 1_000  # a response may be in flight when the wait ends
 MAX_ANSWER_BYTES = 16_777_216  # a page or the events of a watch
@@ -323,3 +323,36 @@
     if failure.kind is FailureKind.NOT_DONE:
         status = state.WriteStatus.NOT_DONE
     return state.WriteAnswer(status, detail=failure.detail)
+
+
+class _PageReader(typing.Protocol):
+    """A store, or a part of one, that lists its entries by page."""
+
+    async def list_page(
+        self, prefix: str, after_key: str = "", allow_stale: bool = False
+    ) -> Outcome[state.Page]:
+        """Return a page of entries under `prefix`, after `after_key`."""
+
+
+async def list_all(
+    store: _PageReader, prefix: str, allow_stale: bool = False
+) -> Outcome[list[state.Entry]]:
+    """Return all entries under a prefix; pages are not a snapshot.
+
+    Parameters
+    ----------
+    allow_stale : bool
+        Whether the entries may be seconds old, which costs less.
+    """
+    entries: list[state.Entry] = []
+    has_more = True
+    while has_more:
+        after = entries[-1].key if entries else ""
+        page = await store.list_page(prefix, after, allow_stale)
+        match page:
+            case result.Success(state.Page() as found):
+                entries += found.entries
+                has_more = found.has_more and bool(found.entries)
+            case result.Failure(failure):
+                return result.Failure(failure)
+    return result.Success(entries)
--- a/poplarloft/transport/metrics_page.py
+++ b/poplarloft/transport/metrics_page.py
@@ -12,6 +12,8 @@
     "poplarloft_log_lines_dropped": "Lines that were not read in time",
     "poplarloft_upstream_limit_per_s": "Rates that upstreams have named",
     "poplarloft_upstream_permits_total": "Permits by upstream and outcome",
+    "poplarloft_upstream_crashes_total": "Crashes seen, by evidence",
+    "poplarloft_quarantines_total": "Quarantines of requests",
 }
 
 
@@ -58,6 +60,18 @@
             registry=self.registry,
         )
 
+        self.crashes = prometheus_client.Counter(
+            "poplarloft_upstream_crashes",
+            METRIC_NAMES["poplarloft_upstream_crashes_total"],
+            ["evidence"],
+            registry=self.registry,
+        )
+        self.quarantines = prometheus_client.Counter(
+            "poplarloft_quarantines",
+            METRIC_NAMES["poplarloft_quarantines_total"],
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/poplarloft_soak/__main__.py
+++ b/poplarloft_soak/__main__.py
@@ -36,6 +36,7 @@
         await asyncio.sleep(START_DELAY_S)
         for number in range(CALLERS):
             tasks.append(loop.create_task(callers.send_calls(number)))
+        tasks.append(loop.create_task(callers.send_poison()))
         for number in range(TRAINERS):
             tasks.append(loop.create_task(callers.run_lots(number)))
         await plan.run(seconds)
@@ -44,7 +45,9 @@
         await asyncio.sleep(FAULT_FREE_S)
         callers.is_stopping = True
         await asyncio.wait(tasks, timeout=FAULT_FREE_S)
-        violations = checks.find_violations(world, callers, healed_at_s)
+        violations = checks.find_violations(
+            world, callers, healed_at_s, plan.injected
+        )
     finally:
         for task in tasks:
             task.cancel()
@@ -60,6 +63,7 @@
         "calls": {str(key): n for key, n in sorted(statuses.items())},
         "lots": len(callers.lots),
         "lots_whole": complete,
+        "crashes": sum(len(s.crashes) for s in world.services),
         "logs": str(folder),
     }
 
--- a/poplarloft_soak/checks.py
+++ b/poplarloft_soak/checks.py
@@ -1,6 +1,7 @@
 """Check the documented promises on records of clients and upstreams."""
 
 import collections
+from collections import abc
 
 from poplarloft_soak import clients
 from poplarloft_soak import world as worlds
@@ -10,12 +11,24 @@
 REFUSAL_STATUSES = (408, 421, 429, 503)
 CANCEL_LIMIT_S = 3.5
 MIN_SERVED_SHARE = 0.9
+NEWS_BOUND_S = 4.0  # within which all instances know of a crash
+POISON_RETRIES = 3
+# Faults of instances and of their connections, and how long after one it
+# may still be felt.
+INSTANCE_FAULTS = ("daemon-", "herd-", "store-", "link-")
+EXCUSED_S = 8.0
 
 
 def find_violations(
-    world: worlds.World, callers: clients.Callers, healed_at_s: float
+    world: worlds.World,
+    callers: clients.Callers,
+    healed_at_s: float,
+    injected: abc.Sequence[tuple[float, str]] = (),
 ) -> list[str]:
-    """Return a sentence for each promise that the records contradict."""
+    """Return a sentence for each promise that the records contradict.
+
+    `injected` are the times and kinds of the faults.
+    """
     runs = collections.Counter(
         run
         for upstream in (*world.engines, *world.services)
@@ -31,6 +44,7 @@
     for upstream in world.upstreams():
         found += [f"{upstream.name}: {x}" for x in upstream.rate.exceeded]
     found += _check_recovery(callers, healed_at_s)
+    found += _check_poison(world, injected)
     found += [
         f"{daemon.name} exited without being stopped"
         for daemon in world.daemons
@@ -120,6 +134,34 @@
     return found
 
 
+def _check_poison(
+    world: worlds.World, injected: abc.Sequence[tuple[float, str]]
+) -> list[str]:
+    """Check how often a request reaches upstreams that it has crashed."""
+    crashes = sorted(
+        at_s
+        for upstream in world.services
+        for request_id, at_s in upstream.crashes
+        if request_id.startswith(clients.POISON_PREFIX)
+    )
+    if len(crashes) < 3:
+        return []
+    excuses = [
+        at_s for at_s, kind in injected if kind.startswith(INSTANCE_FAULTS)
+    ]
+    late = [
+        f"{run} at {upstream.name}"
+        for upstream in world.services
+        for run, at_s in upstream.run_times
+        if run.startswith(clients.POISON_PREFIX)
+        and at_s > crashes[2] + NEWS_BOUND_S
+        and not any(0 <= at_s - x < EXCUSED_S for x in excuses)
+    ]
+    if len(late) > POISON_RETRIES:
+        return [f"a request that crashed three came again: {late}"]
+    return []
+
+
 def _check_recovery(callers: clients.Callers, healed_at_s: float) -> list[str]:
     after = [
         call
--- a/poplarloft_soak/clients.py
+++ b/poplarloft_soak/clients.py
@@ -12,10 +12,12 @@
 from poplarloft.transport import http_client
 from poplarloft_soak import world as worlds
 
-__all__ = ["CallRecord", "Callers", "LotRecord"]
+__all__ = ["CallRecord", "Callers", "LotRecord", "POISON_PREFIX"]
 
 MAX_BODY_BYTES = 1_000_000
 CALL_INTERVAL_S = 0.04
+POISON_INTERVAL_S = 0.5
+POISON_PREFIX = "poison-"
 CALL_TIMEOUT_MS = 2_500
 LOT_TIMEOUT_S = 60
 GROUPS = 2
@@ -92,6 +94,18 @@
             path = "/p/1" if repeatable else "/once/1"
             await self._call(f"c{number}-{count}", path, repeatable)
 
+    async def send_poison(self) -> None:
+        """Send a request that crashes upstreams until `is_stopping`."""
+        count = 0
+        while not self.is_stopping:
+            count += 1
+            headers = (
+                ("x-request-id", f"{POISON_PREFIX}{count}"),
+                ("x-deadline-ms", "2000"),
+            )
+            await self.send("POST", "/p/1", worlds.CRASH_MARKER, headers)
+            await asyncio.sleep(POISON_INTERVAL_S)
+
     async def run_lots(self, number: int) -> None:
         """Submit, read and end lots until `is_stopping` is set."""
         step = 0
--- a/poplarloft_soak/world.py
+++ b/poplarloft_soak/world.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform, and the daemons that run on it."""
 
 import asyncio
+import functools
 import json
 import pathlib
 import time
@@ -11,7 +12,7 @@
 from standins import revision_store
 from standins import sampler
 
-__all__ = ["HOST", "MODEL", "World"]
+__all__ = ["CRASH_MARKER", "HOST", "MODEL", "World"]
 
 HOST = "h.example"
 MODEL = "m"
@@ -19,6 +20,7 @@
 ENGINE_EVENT_MS = 12.0
 EXPIRY_DELAY_S = 1.0
 SENDER_SETTLING_S = 4.0
+CRASH_MARKER = b"poison"
 
 
 class World:
@@ -64,6 +66,9 @@
             await self._start_link(upstream.name, upstream.address)
             upstream.advertised = self.links[upstream.name].address
             await self.announce(upstream)
+        for service in self.services:
+            service.crash_marker = CRASH_MARKER
+            service.on_restart = functools.partial(self.announce, service)
         await self.configure()
         for role, count in self.counts.items():
             for number in range(count):
--- a/tests/test_serving_poison.py
+++ b/tests/test_serving_poison.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import functools
+import json
+import sys
 import time
 
 import pytest
 
+from poplarloft import coordination
 from poplarloft.daemon.serving import peer_link
 from poplarloft.daemon.serving import store_relay
 from tests import serving_fleet
@@ -222,6 +225,36 @@
     assert not any("again" in s.runs for s in fleet.services)
 
 
+async def run_command(fleet, *arguments):
+    """Run a command of the tool against the store; return its output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "poplarloft.cli.main",
+        *arguments,
+        f"--store={fleet.store_address}",
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    return process.returncode, output.decode()
+
+
+async def test_an_operator_lists_and_releases_a_quarantine(fleet):
+    await send_poison(fleet, 1)
+    code, output = await run_command(fleet, "quarantines", "--json")
+    (row,) = json.loads(output)
+    assert (code, row["status"]) == (0, "quarantined")
+    assert len(row["crashes"]) == 3
+    fingerprint = row["fingerprint"]
+    code, output = await run_command(fleet, "release", fingerprint)
+    assert (code, output.strip()) == (0, f"{fingerprint}: applied")
+    await serving_fleet.eventually(
+        lambda: statuses(fleet) == {coordination.FingerprintStatus.CLEAR}
+    )
+    code, _ = await run_command(fleet, "release", fingerprint)
+    assert code == 2
+
+
 async def test_a_request_that_may_run_once_is_not_repeated_by_a_crash(fleet):
     status, _, _ = await fleet.call("POST", "/once/1", MARKER)
     assert status == 502
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -108,3 +108,14 @@
         )
 
     assert lines("poplarloft_soak") < lines("poplarloft") / 10
+
+
+def test_a_poison_request_that_comes_again_is_a_violation(tmp_path):
+    world, callers = records(tmp_path)
+    service = world.services[0]
+    service.crashes = [("poison-1", at_s) for at_s in (1.0, 2.0, 3.0)]
+    service.run_times = [(f"poison-{n}", 10.0 + n) for n in range(4)]
+    (found,) = checks.find_violations(world, callers, 0.0)
+    assert "came again" in found
+    excuse = [(9.0, "daemon-killed")]
+    assert checks.find_violations(world, callers, 0.0, excuse) == []
