--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -56,6 +56,10 @@
         seconds.
     on_restart : callable
         Awaited after each restart.
+    software_version : str
+        Version of the upstream's software, as announced.
+    names_version : bool
+        Whether each event names that version.
     checks_fence : bool
         Whether orders with an older fencing token are refused.
     order_times : list of float
@@ -81,6 +85,8 @@
         self.versions = {"m": 1}
         self.orders: list[dict[str, object]] = []
         self.order_times: list[float] = []
+        self.software_version = "v1"
+        self.names_version = False
         self.checks_fence = True
         self.fence = 0
         self.rate = rate_check.RateCheck()
@@ -146,7 +152,7 @@
                 "service": service,
                 "address": str(self.advertised or self.address),
                 "zone": "z",
-                "version": "v1",
+                "version": self.software_version,
                 "slots": self.slots,
                 "state": "draining" if is_leaving else "ready",
                 "cold_left_ms": 0,
@@ -228,7 +234,10 @@
                 ):
                     raise ConnectionResetError("output cut off on demand")
                 await asyncio.sleep(self.event_ms / MS_PER_S)
-                yield f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+                data = f"{request_id}-{number}"
+                if self.names_version:
+                    data = f"{number}@{self.software_version}"
+                yield f"id: {number}\ndata: {data}\n\n".encode()
         finally:
             self.running -= 1
 
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -54,6 +54,17 @@
                     "service": "app",
                     "max_attempts": attempts,
                 },
+                {
+                    "name": "resumable",
+                    "host": HOST,
+                    "prefix": "/r/",
+                    "kind": "stream",
+                    "resumable": True,
+                    "timeout_ms": target_ms,
+                    "slo_ms": 300,
+                    "service": "app",
+                    "max_attempts": attempts,
+                },
                 {
                     "name": "lots",
                     "host": HOST,
@@ -126,9 +137,11 @@
     must be set before `start`.
     """
 
-    def __init__(self, services=2):
+    def __init__(self, services=2, engines=2):
         self.store = revision_store.RevisionStoreStandin()
-        self.engines = [sampler.SamplerStandin(f"e{n}") for n in range(2)]
+        self.engines = [
+            sampler.SamplerStandin(f"e{n}") for n in range(engines)
+        ]
         self.services = [
             sampler.SamplerStandin(f"s{n}") for n in range(services)
         ]
