Continue an output only at the software version that began it

What trainers saw: texts whose first events came from one software version of the engines and the rest from another.

Cause: the version was dropped where announcements are decoded (hypothesis 1), so that any engine went on with any output, also after a failover (2) and after engines had been replaced under their names (3).

Fix: an announcement's software version is decoded, and an output carries that of the engine that began it through moves, hand-overs between lots, checkpoints and restarts of the leader. It continues at this version or at the same run only. While engines of its version are busy it waits, at most as long as its events took; where none is left it begins anew, as an output of unknown version does. A run whose engine is announced anew under its name is stopped. Found on the way, with a test: increments of checkpoints joined an output with its restart if that was longer.

--- a/poplarloft/coordination/serving/checkpoints.py
+++ b/poplarloft/coordination/serving/checkpoints.py
@@ -17,10 +17,17 @@
     versions: tuple[int, ...] = ()
     is_complete: bool = False
     score: str = ""
+    software_version: str = ""
 
     def to_output(self, item: state.LotItem) -> outputs.ItemOutput:
-        """Return the output in the state of the checkpoint."""
+        """Return the output in the state of the checkpoint.
+
+        An unfinished output of an unknown software version begins anew.
+        """
         output = outputs.ItemOutput(item, outputs.predict_events(item))
+        if not self.is_complete and not self.software_version:
+            return output
+        output.software_version = self.software_version
         output.events = list(self.events)
         output.versions = list(self.versions)
         output.score = self.score
@@ -53,6 +60,7 @@
         checkpoint.versions = increment.versions
         checkpoint.is_complete = increment.is_whole
         checkpoint.score = increment.score
+        checkpoint.software_version = increment.software_version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +70,7 @@
     output: outputs.ItemOutput
     events: int
     score: str
+    restarts: int
 
 
 class CheckpointPlan:
@@ -120,7 +129,7 @@
             if increment is not None:
                 increments.append(increment)
                 self.covered[output.item.id] = _Covered(
-                    output, len(output.events), output.score
+                    output, len(output.events), output.score, output.restarts
                 )
         return increments
 
@@ -132,8 +141,12 @@
             return None
         previous = self.covered.get(output.item.id)
         start = 0
-        if previous is not None and previous.output is output:
-            start = previous.events if previous.events <= count else 0
+        if (
+            previous is not None
+            and previous.output is output
+            and previous.restarts == output.restarts
+        ):
+            start = previous.events
             if start == count and previous.score == output.score:
                 return None
         return state.CheckpointIncrement(
@@ -143,4 +156,5 @@
             tuple(output.versions),
             output.stage in (outputs.Stage.COMPLETE, outputs.Stage.SCORED),
             output.score,
+            output.software_version,
         )
--- a/poplarloft/coordination/serving/outputs.py
+++ b/poplarloft/coordination/serving/outputs.py
@@ -38,6 +38,15 @@
         The item, as in the newest lot that contains it.
     predicted_events : float
         Expected number of events of the complete output.
+    software_version : str
+        Software version of the engine that began the output, empty if
+        unknown. The output continues only at this version.
+    engine_id : tuple of (str, int)
+        The run of the engine that generated the last event.
+    restarts : int
+        Number of times that the output was begun anew.
+    version_wait_since_ms : int or None
+        Since when it has waited for an engine at which it may continue.
     """
 
     item: state.LotItem
@@ -51,6 +60,10 @@
     reward_errors: int = 0
     not_before_ms: int = 0
     avoided_engine: str = ""
+    software_version: str = ""
+    engine_id: tuple[str, int] = ("", 0)
+    restarts: int = 0
+    version_wait_since_ms: int | None = None
 
     def append(self, number: int, data: str, version: int) -> None:
         """Append the next event.
@@ -68,6 +81,24 @@
         if version not in self.versions:
             self.versions.append(version)
 
+    def begin_run(self, sampler: state.Sampler) -> None:
+        """Record the engine that generates from now on.
+
+        An output that may not continue there begins anew.
+        """
+        if not self.may_continue_at(sampler):
+            self.restart()
+        if not self.events:
+            self.software_version = sampler.software_version
+        self.engine_id = sampler.engine_id
+        self.version_wait_since_ms = None
+
+    def may_continue_at(self, sampler: state.Sampler) -> bool:
+        """Return whether an engine may generate the next event."""
+        return not self.events or sampler.can_continue(
+            self.software_version, self.engine_id
+        )
+
     def remaining_events(self) -> float:
         """Return the expected number of events still to be generated."""
         generated = len(self.events)
@@ -85,6 +116,8 @@
         """Discard the output and set the item back to waiting."""
         self.events.clear()
         self.versions.clear()
+        self.restarts += 1
+        self.version_wait_since_ms = None
         self.score = ""
         self.stage = Stage.WAITING
 
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/planning.py
@@ -189,6 +189,8 @@
             view = self._best_engine(plan, output)
             if view is None:
                 continue
+            if not output.may_continue_at(view.sampler):
+                output.restart()
             output.stage = outputs.Stage.RUNNING
             run_id = next(self.run_ids)
             view.running.add(run_id)
@@ -210,6 +212,7 @@
             other.event_interval_ms
             for other in self._candidates(plan)
             if other is not view
+            and output.may_continue_at(other.sampler)
             and other.has_interval
             and other.limit_per_s is None
         ]
@@ -222,6 +225,14 @@
         is_faster = best_ms < MOVE_INTERVAL_RATIO * view.event_interval_ms
         return is_faster and gain_ms > MIN_MOVE_GAIN_MS
 
+    def has_restarted(self, view: engine_view.EngineView) -> bool:
+        """Return whether a later run of an engine is announced."""
+        name, born_ms = view.sampler.engine_id
+        return any(
+            other == name and other_born_ms > born_ms
+            for other, other_born_ms in self.usable
+        )
+
     def on_engine_failure(
         self, view: engine_view.EngineView, is_lost: bool
     ) -> None:
@@ -266,12 +277,38 @@
         self, plan: lot_plan.LotPlan, output: outputs.ItemOutput
     ) -> engine_view.EngineView | None:
         now_ms = self.clock.now_ms()
+        candidates = self._candidates(plan)
+        fitting = [v for v in candidates if output.may_continue_at(v.sampler)]
+        if not fitting and self._should_wait_for_version(output, now_ms):
+            return None
         return min(
-            self._candidates(plan),
+            fitting or candidates,
             key=lambda v: self._cost_ms(v, output, now_ms),
             default=None,
         )
 
+    def _should_wait_for_version(
+        self, output: outputs.ItemOutput, now_ms: int
+    ) -> bool:
+        """Return whether an output waits for an engine of its version.
+
+        It does while one is announced, for as long as it would take to
+        generate its events again.
+        """
+        engines = [
+            view
+            for engine_id, view in self.engines.items()
+            if engine_id in self.usable
+            and output.may_continue_at(view.sampler)
+        ]
+        if not engines:
+            return False
+        if output.version_wait_since_ms is None:
+            output.version_wait_since_ms = now_ms
+        waited_ms = now_ms - output.version_wait_since_ms
+        interval_ms = min(view.event_interval_ms for view in engines)
+        return waited_ms < len(output.events) * interval_ms
+
     def _candidates(
         self, plan: lot_plan.LotPlan
     ) -> list[engine_view.EngineView]:
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/generation.py
@@ -172,6 +172,8 @@
                 events=len(output.events),
                 predicted=round(output.predicted_events),
                 versions=output.versions,
+                software_version=output.software_version,
+                restarts=output.restarts,
                 duration_ms=self.clock.now_ms() - started_ms,
                 outcome=outcome,
             )
@@ -213,6 +215,7 @@
         """Generate the rest of an output, or raise `_Stopped`."""
         output, plan = run.output, run.plan
         await self._await_permit(run)
+        output.begin_run(run.view.sampler)
         left_ms = (
             plan.accepted_at_ms + plan.route.item_ttl_ms - self.clock.now_ms()
         )
@@ -302,6 +305,9 @@
         try:
             async for chunk in response.chunks():
                 events = reader.feed(chunk)
+                if events and self.planner.has_restarted(view):
+                    output.restart()
+                    raise _Stopped("the engine has restarted", False)
                 for event in events:
                     version = event.version or version
                     self._check_version(run, version)
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -1,5 +1,6 @@
 """Values that operators, trainers and samplers keep in the store."""
 
+import hashlib
 import typing
 
 import msgspec
@@ -17,6 +18,7 @@
 ]
 
 MS_PER_S = 1_000
+MAX_VERSION_CHARS = 64
 KINDS = {
     "idempotent": state.RouteKind.IDEMPOTENT,
     "non_idempotent": state.RouteKind.NON_IDEMPOTENT,
@@ -88,6 +90,7 @@
     address: str
     zone: str  # data centre
     state: typing.Literal["ready", "draining"]
+    version: str = ""  # of the software
     slots: int = 1
     born: int = 0  # Unix time of the start in milliseconds
     models: list[_LoadedModel] = []
@@ -132,6 +135,7 @@
         row.state == "draining",
         {model.name: model.version for model in row.models},
         row.sequence,
+        _software_version(row.version),
     )
 
 
@@ -155,6 +159,14 @@
         raise errors.FieldError(what, str(error)) from error
 
 
+def _software_version(text: str) -> str:
+    """Return a version's text, or a digest of it if it is long."""
+    if len(text) <= MAX_VERSION_CHARS:
+        return text
+    digest = hashlib.blake2b(text.encode("utf-8", "surrogatepass"))
+    return digest.hexdigest()[:MAX_VERSION_CHARS]
+
+
 def _route(row: _Route) -> state.PathRoute:
     targets = [state.Target(s.service, s.weight) for s in row.split]
     if not targets:
--- a/poplarloft/state/lots.py
+++ b/poplarloft/state/lots.py
@@ -147,6 +147,9 @@
         Whether the output is complete.
     score : str
         The score, empty until it is known.
+    software_version : str
+        Software version of the engine that began the output, empty if
+        unknown.
     """
 
     item_id: str
@@ -155,6 +158,7 @@
     versions: tuple[int, ...]
     is_whole: bool
     score: str
+    software_version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarloft/state/samplers.py
+++ b/poplarloft/state/samplers.py
@@ -25,6 +25,9 @@
     orders_accepted : int
         Number of orders that it had accepted since its start when it
         wrote the announcement.
+    software_version : str
+        Version of its software, empty if unknown. Versions have no order,
+        and what two of them generate doesn't fit together.
     """
 
     name: str
@@ -36,12 +39,31 @@
     is_leaving: bool = False
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
     orders_accepted: int = 0
+    software_version: str = ""
 
     @property
     def engine_id(self) -> tuple[str, int]:
         """Name and start time, which identify one run of the upstream."""
         return self.name, self.born_ms
 
+    def can_continue(
+        self, software_version: str, engine_id: tuple[str, int]
+    ) -> bool:
+        """Return whether it may go on with what another run generated.
+
+        Parameters
+        ----------
+        software_version : str
+            Version that began it, empty if unknown.
+        engine_id : tuple of (str, int)
+            The run that generated it last.
+        """
+        if engine_id == self.engine_id:
+            return True
+        return software_version != "" and (
+            software_version == self.software_version
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightsTarget:
