Let a client's stream go on only at the version that began it

What callers saw: streams that had broken off were taken up at another entry, answered 200 and ran to the end, joined from two software versions of the service, also after all entries had been killed; after the first version had left, and for streams that nobody knew, always so.

Cause: nothing read which attempt a client resumes, and which version began a stream was known to nobody once its request had ended.

Fix: an entry records the service and version of each resumable stream that it begins, and tells the two bulk daemons that a rendezvous hash of the stream picks, in batches of 50 ms. An entry that is asked to take up a stream looks it up, first at home, then there; it lists the instances if it has just started. The stream goes on at upstreams of that service and version only, each asked first whether it is the announced run. Where nobody knows, it goes on only if one version alone has served for longer than a stream can live. Else it is refused at once as not run. Streams are keyed by account, host and first attempt, so that any name of any length is a bounded key of its client's own.

Ruled out: asking all instances (messages grow with the fleet); a write to the store a stream (its rates and price). Of two deaths in the same moment: an entry that ends within 50 ms of a stream's first event leaves it unknown, and so do both keepers that end together; such streams are refused, never joined.

The choice of an upstream and the history of attempts have files of their own.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -40,6 +40,8 @@
 from poplarloft.coordination.serving.result_log import ReadBatch
 from poplarloft.coordination.serving.result_log import ResultLog
 from poplarloft.coordination.serving.result_log import WriteBatch
+from poplarloft.coordination.serving.stream_versions import StreamTable
+from poplarloft.coordination.serving.stream_versions import VersionHistory
 from poplarloft.coordination.serving.weight_loading import LoadVersion
 from poplarloft.coordination.serving.weight_loading import WeightLoadPlanner
 
@@ -77,7 +79,9 @@
     "SamplerRegistry",
     "Stage",
     "StartItem",
+    "StreamTable",
     "VerdictKind",
+    "VersionHistory",
     "WeightLoadPlanner",
     "WriteBatch",
     "WriteHolder",
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -5,6 +5,7 @@
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import peer_link
 from poplarloft.daemon.serving import store_relay
+from poplarloft.daemon.serving import stream_link
 from poplarloft.daemon.serving import upstream_limits
 from poplarloft.daemon import tasks
 from poplarloft.protocol import addresses
@@ -58,6 +59,12 @@
             lambda: self.relay.members,
             None not in (settings.relay_listen, settings.peer_listen),
         )
+        self.streams = stream_link.StreamLink(
+            settings.name,
+            self.peers,
+            lambda: self.relay.members,
+            self.relay.list_peers_once,
+        )
         self.regions = settings.region_by_data_centre()
 
     def apply(self, settings: serving_settings.ServingSettings) -> list[str]:
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -13,6 +13,7 @@
 from poplarloft.daemon.serving import feed_link
 from poplarloft.daemon.serving import forwarding
 from poplarloft.daemon.serving import lot_service
+from poplarloft.daemon.serving import upstream_choice
 from poplarloft.daemon.serving import view
 from poplarloft.platform import ingress
 from poplarloft.platform import lots
@@ -52,15 +53,18 @@
         )
         client = samplers.SamplerClient(self.client, self.limits)
         self.guard = self._make_guard(client)
-        self.forwarder = forwarding.Forwarder(
-            self.clock,
-            self.samplers,
+        balancer = self.make_balancer()
+        chooser = upstream_choice.UpstreamChooser(
+            self.samplers.registry,
             client,
-            self.make_balancer(),
+            balancer,
             self.rng,
             self.limits,
             self.guard,
         )
+        self.forwarder = forwarding.Forwarder(
+            self.clock, client, balancer, chooser, self.guard, self.streams
+        )
         self.lot_service = lot_service.LotService(
             self.clock,
             self.wall_clock,
@@ -78,6 +82,9 @@
             lambda: self.limits.follow(self.samplers.registry)
         )
         self.samplers.listeners.append(self.guard.on_announcements)
+        self.samplers.listeners.append(
+            lambda: self.streams.follow(self.samplers.registry)
+        )
         self.relay.listeners.append(self.guard.news.on_peers)
 
     def _make_guard(
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import random
 
 import eliot
 from returns import result
@@ -12,9 +11,10 @@
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
 from poplarloft.daemon import quarantines
+from poplarloft.daemon.serving import attempt_history
 from poplarloft.daemon.serving import crash_guard
-from poplarloft.daemon.serving import upstream_limits
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving import stream_link
+from poplarloft.daemon.serving import upstream_choice
 from poplarloft.platform import ingress
 from poplarloft.platform import samplers
 from poplarloft.protocol import http
@@ -27,10 +27,10 @@
 RETRY_AFTER_MS = 100
 MIN_ATTEMPT_MS = 20
 RESPONSE_MARGIN_MS = 20  # the refusal must reach the client in time
+OK = 200
 SERVER_ERROR = 500
 SERVICE_SHARE = 3  # a third of the time left is kept for the upstream
 MAX_BUFFERED_BYTES = 262_144  # larger responses are streamed to the client
-MAX_UNCOUNTED = 8
 SUSPECT_WAIT_MS = 100  # until a suspect without an upstream looks again
 MS_PER_S = 1_000
 FailureKind = retries.FailureKind
@@ -44,46 +44,6 @@
 Status = coordination.FingerprintStatus
 
 
-@dataclasses.dataclass(slots=True)
-class _AttemptHistory:
-    """The attempts made so far for one request.
-
-    Parameters
-    ----------
-    names : list of str
-        The upstreams tried.
-    uncounted : int
-        Number of attempts at upstreams that crashed or did not listen.
-    may_have_run : bool
-        Whether an upstream may have run the request.
-    detail : str
-        Why there is no response so far.
-    limited_for_ms : int or None
-        Time until an upstream takes a request, if all are limited.
-    status : coordination.FingerprintStatus
-        Restriction on the request's fingerprint when last looked at.
-    """
-
-    names: list[str] = dataclasses.field(default_factory=list)
-    uncounted: int = 0
-    may_have_run: bool = False
-    detail: str = "no upstream is available"
-    limited_for_ms: int | None = None
-    status: coordination.FingerprintStatus = Status.CLEAR
-
-    @property
-    def verdict(self) -> state.Verdict:
-        """Return whether an upstream may have run the request."""
-        if self.may_have_run:
-            return state.Verdict.MAY_HAVE_RUN
-        return state.Verdict.NOT_RUN
-
-    def has_attempt_left(self, route: state.PathRoute) -> bool:
-        """Return whether the route allows another attempt."""
-        counted = len(self.names) - min(self.uncounted, MAX_UNCOUNTED)
-        return counted < max(1, route.max_attempts)
-
-
 class Forwarder:
     """Sends requests to upstreams, with retries where that is safe.
 
@@ -91,37 +51,33 @@
     ----------
     clock : state.Clock
         Monotonic clock.
-    sampler_view : view.SamplerView
-        The announced upstreams.
     client : samplers.SamplerClient
         Connections to the upstreams.
     balancer : serving.LeastExpectedTime
-        Chooses among the upstreams of a service.
-    rng : random.Random
-        Chooses among the services of a split route.
-    limits : upstream_limits.UpstreamLimits
-        Permits for upstreams that have named a limit.
+        Is told of the outcome of each attempt.
+    chooser : upstream_choice.UpstreamChooser
+        Chooses the upstream of each attempt.
     guard : crash_guard.CrashGuard
         Restricts requests that may crash upstreams.
+    streams : stream_link.StreamLink
+        Which software versions began the streams of clients.
     """
 
     def __init__(
         self,
         clock: state.Clock,
-        sampler_view: view.SamplerView,
         client: samplers.SamplerClient,
         balancer: serving.LeastExpectedTime,
-        rng: random.Random,
-        limits: upstream_limits.UpstreamLimits,
+        chooser: upstream_choice.UpstreamChooser,
         guard: crash_guard.CrashGuard,
+        streams: stream_link.StreamLink,
     ) -> None:
         self.clock = clock
-        self.sampler_view = sampler_view
         self.client = client
         self.balancer = balancer
-        self.rng = rng
-        self.limits = limits
         self.guard = guard
+        self.streams = streams
+        self.chooser = chooser
 
     async def handle(
         self, call: ingress.ForwardedCall, route: state.PathRoute
@@ -130,8 +86,14 @@
         allowed_ms = min(call.deadline_ms, route.timeout_ms)
         started_ms = self.clock.now_ms()
         deadline_ms = started_ms + allowed_ms - RESPONSE_MARGIN_MS
-        service = self._pick_service(route)
-        history = _AttemptHistory()
+        service = self.chooser.pick_service(route)
+        history = attempt_history.AttemptHistory()
+        if route.kind is state.RouteKind.STREAM and call.takes_up_stream:
+            origin = await self.streams.origin_of(
+                call.resumed_stream_key(), route, call.id
+            )
+            history.set_origin(origin.software_version)
+            service = origin.service
         identified = await self.guard.identify(call)
         while history.has_attempt_left(route):
             remaining_ms = deadline_ms - self.clock.now_ms()
@@ -144,17 +106,22 @@
                 remaining_ms - remaining_ms // SERVICE_SHARE,
             )
             history.status = self.guard.status_of(identified.fingerprint)
-            if history.status in (Status.QUARANTINED, Status.ON_HOLD):
+            if history.is_restricted:
                 break
-            sampler = await self._choose_sampler(
+            sampler = await self.chooser.choose(
                 service, identified, history, need
             )
-            if sampler is None and history.status is Status.SUSPECT:
+            if sampler is None and self._may_wait(service, history):
                 await asyncio.sleep(SUSPECT_WAIT_MS / MS_PER_S)
                 continue
             if sampler is None:
                 break
             history.names.append(sampler.name)
+            if history.software_version and not await self.chooser.is_same_run(
+                sampler, call.id
+            ):
+                history.uncounted += 1
+                continue
             # Less time is left after a wait for a permit.
             remaining_ms = max(1, deadline_ms - self.clock.now_ms())
             response = await self._attempt(
@@ -178,41 +145,12 @@
                 break
         return self._refuse(identified, route, history, deadline_ms)
 
-    def _pick_service(self, route: state.PathRoute) -> str:
-        weights = [target.weight for target in route.targets]
-        if sum(weights) <= 0:
-            return route.targets[0].service
-        return self.rng.choices(route.targets, weights)[0].service
-
-    async def _choose_sampler(
-        self,
-        service: str,
-        identified: crash_guard.IdentifiedCall,
-        history: _AttemptHistory,
-        need: serving.PermitNeed,
-    ) -> state.Sampler | None:
-        """Return an upstream that may get the request, preferably a new one.
-
-        Waits for a permit if all upstreams are limited.
-        """
-        available = self.guard.usable(
-            identified.fingerprint,
-            self.sampler_view.registry.of_service(service),
-            history.names,
-        )
-        passes = (history.names, ()) if history.names else ((),)
-        for excluded in passes:
-            match await self.limits.choose(
-                self.balancer, available, excluded, need
-            ):
-                case result.Success(sampler):
-                    history.limited_for_ms = None
-                    return sampler
-                case result.Failure(int() as wait_ms):
-                    history.limited_for_ms = wait_ms
-        if history.limited_for_ms is not None:
-            history.detail = "all upstreams are at their limits"
-        return None
+    def _may_wait(
+        self, service: str, history: attempt_history.AttemptHistory
+    ) -> bool:
+        """Return whether an upstream may be free for a suspect soon."""
+        is_suspect = history.status is Status.SUSPECT
+        return is_suspect and bool(self.chooser.available(service, history))
 
     async def _attempt(
         self,
@@ -220,7 +158,7 @@
         route: state.PathRoute,
         sampler: state.Sampler,
         remaining_ms: int,
-        history: _AttemptHistory,
+        history: attempt_history.AttemptHistory,
     ) -> http.HttpResponse | None:
         """Send the request once; return None if the attempt failed."""
         call = identified.call
@@ -277,7 +215,7 @@
         route: state.PathRoute,
         sampler: state.Sampler,
         response: http_client.UpstreamResponse,
-        history: _AttemptHistory,
+        history: attempt_history.AttemptHistory,
     ) -> http.HttpResponse | None:
         """Return the upstream's response, or None if the attempt failed."""
         if not samplers.is_response_to(response, identified.call.id):
@@ -299,6 +237,8 @@
         headers = samplers.returned_headers(response)
         response.limit_to_timeout()
         if route.kind is state.RouteKind.STREAM:
+            if response.status == OK and route.resumable:
+                self.streams.record(identified.call.stream_key(), sampler)
             return http.HttpResponse(
                 response.status, headers, response.chunks()
             )
@@ -331,7 +271,7 @@
         identified: crash_guard.IdentifiedCall,
         sampler: state.Sampler,
         failure: errors.TransportFailure,
-        history: _AttemptHistory,
+        history: attempt_history.AttemptHistory,
     ) -> None:
         """Record a failed attempt, and find out whether it was a crash."""
         request_id = identified.call.id
@@ -360,19 +300,11 @@
         self,
         identified: crash_guard.IdentifiedCall,
         route: state.PathRoute,
-        history: _AttemptHistory,
+        history: attempt_history.AttemptHistory,
         deadline_ms: int,
     ) -> http.HttpResponse:
         is_late = deadline_ms - self.clock.now_ms() < MIN_ATTEMPT_MS
-        reason = state.Reason.UPSTREAM_FAILED
-        if is_late and history.may_have_run:
-            reason = state.Reason.DEADLINE
-        if not history.names:
-            reason = state.Reason.NO_UPSTREAM
-        if history.limited_for_ms is not None and not history.may_have_run:
-            reason = state.Reason.UPSTREAM_LIMITED
-        if history.status in (Status.QUARANTINED, Status.ON_HOLD):
-            reason = state.Reason.QUARANTINED
+        reason = history.reason(is_late)
         fingerprint = identified.fingerprint
         eliot.log_message(
             "request-refused",
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -224,6 +224,7 @@
         self.peers_address: state.Address | None = None
         self.feed: feed_link.FeedLink | None = None
         self.members: dict[str, state.PeerRecord] = {}
+        self.listing = asyncio.Lock()
         self.listeners: list[abc.Callable[[], None]] = []
         self.relayed_calls = 0
         self.server = http_server.HttpServer(
@@ -298,6 +299,12 @@
             await self._list_peers()
             await asyncio.sleep(LIST_INTERVAL_MS / MS_PER_S)
 
+    async def list_peers_once(self) -> None:
+        """List the peers now if they have not been listed yet."""
+        async with self.listing:
+            if not self.members:
+                await self._list_peers()
+
     async def _list_peers(self) -> None:
         listed = await platform_store.list_all(
             self.store, lot_records.MEMBERS_PREFIX, allow_stale=True
--- a/poplarloft/platform/ingress.py
+++ b/poplarloft/platform/ingress.py
@@ -1,6 +1,7 @@
 """Requests of clients and trainers, and the responses to them."""
 
 import dataclasses
+import hashlib
 from urllib import parse
 
 import msgspec
@@ -28,6 +29,7 @@
 
 MS_PER_S = 1_000
 DEFAULT_DEADLINE_MS = 30_000
+STREAM_KEY_BYTES = 16
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -65,9 +67,33 @@
 
     def hasher(self) -> http.RequestHasher:
         """Return a hasher of the request, without its body."""
-        caller = dict(self.headers).get("authorization", "")
+        caller = self._header("authorization")
         return http.RequestHasher(caller, self.host + self.target)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the client has events of the stream already."""
+        return self._header(names.LAST_EVENT_ID).strip() not in ("", "0")
+
+    def stream_key(self) -> str:
+        """Return the key of a stream that begins with this attempt."""
+        return self._stream_key(self.id)
+
+    def resumed_stream_key(self) -> str:
+        """Return the key of the stream to take up, empty if not named."""
+        first_id = self._header(names.RESUMES)
+        return self._stream_key(first_id) if first_id else ""
+
+    def _stream_key(self, first_id: str) -> str:
+        """Return a key that other accounts and hosts do not share."""
+        caller = self._header("authorization")
+        text = f"{caller}\n{self.host}\n{first_id}"
+        digest = hashlib.blake2b(text.encode(), digest_size=STREAM_KEY_BYTES)
+        return digest.hexdigest()
+
+    def _header(self, name: str) -> str:
+        return dict(self.headers).get(name, "")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadLot:
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -27,6 +27,7 @@
 LENGTH_HINT = "x-length-hint"
 TOKEN_COUNTS = "x-token-counts"
 LAST_EVENT_ID = "last-event-id"
+RESUMES = "resumes"  # the attempt that brought a stream's first event
 RETRY_AFTER = "retry-after"
 RATE_LIMIT = "server-limit"  # requests per second of all instances
 
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -35,6 +35,9 @@
     state.PermitRequest,
     state.PermitAnswer,
     state.CrashNotice,
+    state.StreamNotice,
+    state.StreamLookup,
+    state.StreamAnswer,
 ]
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _DECODERS = [
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -94,6 +94,10 @@
 from poplarloft.state.standby import Ping
 from poplarloft.state.standby import Pong
 from poplarloft.state.standby import Subscribe
+from poplarloft.state.streams import StreamAnswer
+from poplarloft.state.streams import StreamLookup
+from poplarloft.state.streams import StreamNotice
+from poplarloft.state.streams import StreamRecord
 from poplarloft.state.upstream import LoadReport
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
@@ -203,6 +207,10 @@
     "Span",
     "StoreFailure",
     "StoreFailureKind",
+    "StreamAnswer",
+    "StreamLookup",
+    "StreamNotice",
+    "StreamRecord",
     "Subscribe",
     "Target",
     "Upstream",
--- a/poplarloft/state/serving_messages.py
+++ b/poplarloft/state/serving_messages.py
@@ -3,6 +3,7 @@
 from poplarloft.state import crashes
 from poplarloft.state import feeds
 from poplarloft.state import standby
+from poplarloft.state import streams
 from poplarloft.state import upstream_limits
 
 __all__ = ["ServingMessage"]
@@ -22,4 +23,7 @@
     | upstream_limits.PermitRequest
     | upstream_limits.PermitAnswer
     | crashes.CrashNotice
+    | streams.StreamNotice
+    | streams.StreamLookup
+    | streams.StreamAnswer
 )
--- a/tests/test_serving_versions.py
+++ b/tests/test_serving_versions.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from poplarloft.coordination.serving import stream_versions
 from poplarloft.daemon.serving import store_relay
 from poplarloft import state
 from poplarloft.transport import http_client
@@ -233,3 +234,77 @@
     stream.first_id, stream.lines = "never-seen", ["id: 1"]
     assert await stream.attempt(2, fleet.entries[0]) == 503
     assert not any(service.runs for service in fleet.services)
+
+
+async def test_no_stream_goes_on_at_a_run_that_is_not_announced_yet(fleet):
+    await set_versions(fleet, fleet.services, "a")
+    streams = await begin_streams(fleet)
+    for service in fleet.services:
+        service.software_version, service.born_ms = "b", 2
+    assert set(await take_up(fleet, streams)) == {503}
+    assert joined([stream.lines for stream in streams]) == []
+
+
+ODD_IDS = [
+    "",
+    "\xe9\xff" * 20,
+    "x" * 8_000,
+    "s0-1, s1-1",
+]
+
+
+@pytest.mark.parametrize("odd", ODD_IDS, ids=["none", "bytes", "long", "two"])
+async def test_odd_names_of_streams_are_refused_unrun(fleet, odd):
+    await set_versions(fleet, fleet.services, "a", "b")
+    stream = Stream(fleet, "s")
+    stream.first_id, stream.lines = odd, ["id: 1"]
+    assert await stream.attempt(2, fleet.entries[0]) == 503
+    assert not any(service.runs for service in fleet.services)
+
+
+async def test_a_stream_of_another_account_is_not_taken_up(fleet):
+    await set_versions(fleet, fleet.services, "a", "b")
+    (stream, *_) = await begin_streams(fleet)
+    extra = (("authorization", "Bearer other"),)
+    status = await stream.attempt(2, fleet.entries[0], extra=extra)
+    assert status == 503
+
+
+async def test_a_stream_is_taken_up_again_and_again_and_twice_at_once(fleet):
+    await set_versions(fleet, fleet.services, "a", "b")
+    streams = await begin_streams(fleet)
+    for number, entry in enumerate(fleet.entries, 2):
+        await asyncio.gather(*(s.attempt(number, entry, 6) for s in streams))
+    await asyncio.gather(
+        *(s.attempt(9, fleet.entries[0], 4) for s in streams),
+        *(s.attempt(10, fleet.entries[1], 4) for s in streams),
+    )
+    assert {status for s in streams for status in s.statuses} == {200}
+    assert joined([stream.lines for stream in streams]) == []
+
+
+async def test_a_break_before_the_first_event_frees_the_version(fleet):
+    await set_versions(fleet, fleet.services, "a")
+    stream = Stream(fleet, "s")
+    for service in fleet.services:
+        service.breaks_after = 0
+    await stream.attempt(1, fleet.entries[0])
+    assert stream.lines == []
+    for service in fleet.services:
+        service.breaks_after = None
+    await set_versions(fleet, fleet.services, "b")
+    assert await stream.attempt(2, fleet.entries[1]) == 200
+    assert versions_in(stream.lines) == {"b"}
+
+
+async def test_an_unknown_stream_goes_on_where_only_one_version_served(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(stream_versions, "STREAM_LIFETIME_MS", 1_000)
+    await set_versions(fleet, fleet.services, "a")
+    await asyncio.sleep(0.5)
+    streams = await begin_streams(fleet)
+    for daemon in (*fleet.entries, *fleet.bulks):
+        daemon.streams.table.begun.clear()
+    assert set(await take_up(fleet, streams)) == {200}
+    assert {len(stream.lines) for stream in streams} == {EVENTS}
