Turn any error in a value of others into one typed error

What operators reported: one odd entry among the samplers (deeply nested, a number too large, a port out of range) and whoever reads the list ended again and again, or stopped following it.

Cause: decoders caught the errors of the JSON library alone. A nested value raises RecursionError, a number of 5,000 digits ValueError, also where it is taken for a port, a deadline, an age or a version. The task that follows the list ended with it, started anew and met it again.

Fix: all decoding of the store, of peers, of upstreams and of clients goes through one function that raises FieldError, and numbers in text through one that bounds them. Odd entries that can be read (no, negative or huge numbers) do no harm.

--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store_relay.py
@@ -15,6 +15,7 @@
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
 from poplarloft.protocol import lot_records
+from poplarloft.protocol import numbers
 from poplarloft.protocol import serving_messages
 from poplarloft import state
 from poplarloft.transport import http_client
@@ -341,5 +342,5 @@
 
 def _wait_ms(request: http.HttpRequest) -> int:
     """Return how long the calling peer waits for the response."""
-    value = request.headers.get(WAIT_HEADER, "")
-    return min(MAX_WAIT_MS, int(value)) if value.isdecimal() else MAX_WAIT_MS
+    wait_ms = numbers.parse_count(request.headers.get(WAIT_HEADER, ""))
+    return MAX_WAIT_MS if wait_ms is None else min(MAX_WAIT_MS, wait_ms)
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -26,7 +26,6 @@
     "rollout": state.RouteKind.LOTS,
     "batch": state.RouteKind.LOTS,
 }
-T = typing.TypeVar("T")
 
 
 class _Split(msgspec.Struct):
@@ -107,7 +106,31 @@
 
     Routes of unknown kinds are left out.
     """
-    document = _decode("configuration", value, _Configuration)
+    return errors.decoded("configuration", lambda: _configuration(value))
+
+
+def decode_sampler(key: str, value: bytes) -> state.Sampler:
+    """Return a sampler's announcement; raises `FieldError`."""
+    return errors.decoded("sampler", lambda: _sampler(key, value))
+
+
+def decode_weights_target(value: bytes) -> state.WeightsTarget:
+    """Return the weight version a trainer set; raises `FieldError`."""
+    row = errors.decoded(
+        "weights target", lambda: msgspec.json.decode(value, type=_Target)
+    )
+    return state.WeightsTarget(row.model, row.version)
+
+
+def encode_retirement(is_done: bool) -> bytes:
+    """Return the status of an instance that is being retired."""
+    return msgspec.json.encode(
+        {"state": "completed" if is_done else "running"}
+    )
+
+
+def _configuration(value: bytes) -> state.ServingConfiguration:
+    document = msgspec.json.decode(value, type=_Configuration)
     limits = document.limits
     return state.ServingConfiguration(
         document.version,
@@ -122,9 +145,8 @@
     )
 
 
-def decode_sampler(key: str, value: bytes) -> state.Sampler:
-    """Return a sampler's announcement; raises `FieldError`."""
-    row = _decode("sampler", value, _Announcement)
+def _sampler(key: str, value: bytes) -> state.Sampler:
+    row = msgspec.json.decode(value, type=_Announcement)
     return state.Sampler(
         key.removeprefix(names.SAMPLER_PREFIX),
         row.born,
@@ -139,26 +161,6 @@
     )
 
 
-def decode_weights_target(value: bytes) -> state.WeightsTarget:
-    """Return the weight version a trainer set; raises `FieldError`."""
-    row = _decode("weights target", value, _Target)
-    return state.WeightsTarget(row.model, row.version)
-
-
-def encode_retirement(is_done: bool) -> bytes:
-    """Return the status of an instance that is being retired."""
-    return msgspec.json.encode(
-        {"state": "completed" if is_done else "running"}
-    )
-
-
-def _decode(what: str, value: bytes, shape: type[T]) -> T:
-    try:
-        return msgspec.json.decode(value, type=shape)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.FieldError(what, str(error)) from error
-
-
 def _software_version(text: str) -> str:
     """Return a version's text, or a digest of it if it is long."""
     if len(text) <= MAX_VERSION_CHARS:
--- a/poplarloft/platform/ingress.py
+++ b/poplarloft/platform/ingress.py
@@ -10,6 +10,7 @@
 from poplarloft.platform import names
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
+from poplarloft.protocol import numbers
 from poplarloft import state
 
 __all__ = [
@@ -233,6 +234,7 @@
 
 
 def _number(field: str, text: str) -> int:
-    if not text.isdecimal():
+    number = numbers.parse_count(text)
+    if number is None:
         raise errors.FieldError(field, f"expected a number, got {text[:80]!r}")
-    return int(text)
+    return number
--- a/poplarloft/platform/lots.py
+++ b/poplarloft/platform/lots.py
@@ -10,6 +10,7 @@
 from poplarloft.platform import names
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
+from poplarloft.protocol import numbers
 from poplarloft import state
 
 __all__ = ["decode_lot", "encode_results"]
@@ -57,10 +58,9 @@
     FieldError
         If a field is missing or has an invalid value.
     """
-    try:
-        document = msgspec.json.decode(body, type=_Lot)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.FieldError("lot", str(error)) from error
+    document = errors.decoded(
+        "lot", lambda: msgspec.json.decode(body, type=_Lot)
+    )
     if not document.items:
         raise errors.FieldError("items", "expected at least one item")
     items = tuple(_item(host, row) for row in document.items)
@@ -109,8 +109,8 @@
         body,
         row.tokens,
         row.group,
-        int(counts[0]) if counts[0].isdecimal() else 0,
-        int(hint) if hint.isdecimal() else None,
+        numbers.parse_count(counts[0]) or 0,
+        numbers.parse_count(hint),
         _reward(row.scorer),
     )
 
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -13,9 +13,11 @@
 from poplarloft.coordination import retries
 from poplarloft.platform import limits
 from poplarloft.platform import names
+from poplarloft.protocol import errors
 from poplarloft.protocol import http
+from poplarloft.protocol import numbers
 from poplarloft import state
-from poplarloft.transport import errors
+from poplarloft.transport import errors as transport_errors
 from poplarloft.transport import http_client
 
 __all__ = [
@@ -37,7 +39,9 @@
 HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding"}
 )
-Outcome = result.Result[http_client.UpstreamResponse, errors.TransportFailure]
+Outcome = result.Result[
+    http_client.UpstreamResponse, transport_errors.TransportFailure
+]
 
 
 class _Model(msgspec.Struct):
@@ -328,8 +332,10 @@
 ) -> EngineReport | None:
     try:
         body = await response.read(MAX_REPORT_BYTES)
-        row = msgspec.json.decode(body, type=_Report)
-    except (http_client.TruncatedResponseError, msgspec.MsgspecError):
+        row = errors.decoded(
+            "report", lambda: msgspec.json.decode(body, type=_Report)
+        )
+    except (http_client.TruncatedResponseError, errors.ProtocolError):
         return None
     versions = {model.name: model.version for model in row.models}
     return EngineReport(versions, row.busy, row.sequence)
@@ -345,12 +351,14 @@
         return state.ProbeOutcome.OTHER_RUN
     try:
         body = await response.read(MAX_REPORT_BYTES)
-        born_ms = msgspec.json.decode(body, type=_Birth).born
+        birth = errors.decoded(
+            "report", lambda: msgspec.json.decode(body, type=_Birth)
+        )
     except http_client.TruncatedResponseError:
         return state.ProbeOutcome.SILENT
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except errors.ProtocolError:
         return state.ProbeOutcome.ANSWERED
-    if born_ms == sampler.born_ms:
+    if birth.born == sampler.born_ms:
         return state.ProbeOutcome.SAME_RUN
     return state.ProbeOutcome.OTHER_RUN
 
@@ -378,8 +386,7 @@
 
 def first_version(response: http_client.UpstreamResponse) -> int | None:
     """Return the weight version at the start of a response, if known."""
-    text = response.headers.get(names.VERSION, "")
-    return int(text) if text.isdecimal() else None
+    return numbers.parse_count(response.headers.get(names.VERSION, ""))
 
 
 def body_length(response: http_client.UpstreamResponse) -> http.Headers:
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -10,6 +10,7 @@
 
 from poplarloft.coordination import retries
 from poplarloft.platform import names
+from poplarloft.protocol import errors as protocol_errors
 from poplarloft import state
 from poplarloft.transport import errors
 from poplarloft.transport import http_client
@@ -262,10 +263,8 @@
     match reply:
         case result.Success(response) if response.status == OK:
             try:
-                return result.Success(
-                    msgspec.json.decode(response.body, type=shape)
-                )
-            except msgspec.MsgspecError as error:
+                return result.Success(_decode_json(response.body, shape))
+            except protocol_errors.ProtocolError as error:
                 return _failure(FailureKind.REJECTED, str(error))
         case result.Success(response):
             kind = FAILURES.get(response.status, FailureKind.REJECTED)
@@ -278,13 +277,24 @@
 def _entry(row: _Row) -> state.Entry:
     return state.Entry(
         row.key,
-        base64.b64decode(row.value),
+        _value(row.value),
         row.revision,
         row.create_rev,
         row.lease,
     )
 
 
+def _value(text: str) -> bytes:
+    """Return the value of an entry; an unreadable one is empty.
+
+    Whoever decodes it refuses it, while the other entries hold.
+    """
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return b""
+
+
 def _change(row: _Row) -> state.Change:
     entry = None if row.removed else _entry(row)
     return state.Change(row.key, row.revision, entry)
@@ -304,13 +314,13 @@
     status = state.WriteStatus
     try:
         if reply.status == OK:
-            written = msgspec.json.decode(reply.body, type=_Written)
+            written = _decode_json(reply.body, _Written)
             return state.WriteAnswer(status.APPLIED, written.revision)
         if reply.status == CONFLICT:
-            conflict = msgspec.json.decode(reply.body, type=_Conflict)
+            conflict = _decode_json(reply.body, _Conflict)
             current = tuple(_entry(row) for row in conflict.items)
             return state.WriteAnswer(status.CONFLICT, current=current)
-    except msgspec.MsgspecError as error:
+    except protocol_errors.ProtocolError as error:
         return state.WriteAnswer(status.UNKNOWN, detail=str(error))
     detail = f"the store answered {reply.status}"
     if reply.status == GATEWAY_TIMEOUT:
@@ -318,6 +328,13 @@
     return state.WriteAnswer(status.NOT_DONE, detail=detail)
 
 
+def _decode_json(body: bytes, shape: type[T]) -> T:
+    """Return the content of an answer; raises `FieldError`."""
+    return protocol_errors.decoded(
+        "answer", lambda: msgspec.json.decode(body, type=shape)
+    )
+
+
 def _failed_write(failure: state.StoreFailure) -> state.WriteAnswer:
     status = state.WriteStatus.UNKNOWN
     if failure.kind is FailureKind.NOT_DONE:
--- a/poplarloft/protocol/addresses.py
+++ b/poplarloft/protocol/addresses.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from poplarloft.protocol import errors
+from poplarloft.protocol import numbers
 from poplarloft import state
 
 __all__ = ["AddressText", "parse_address"]
@@ -29,13 +30,14 @@
         ip = ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         raise errors.ProtocolError(
-            f"host {host!r} is not an IP address; names are not resolved"
+            f"host {host[:80]!r} is not an IP address; names are not resolved"
         ) from None
-    if not port_text.isdecimal() or int(port_text) > MAX_PORT:
+    port = numbers.parse_count(port_text)
+    if port is None or port > MAX_PORT:
         raise errors.ProtocolError(
-            f"port {port_text!r} is not a number from 0 to {MAX_PORT}"
+            f"port {port_text[:80]!r} is not a number from 0 to {MAX_PORT}"
         )
-    return state.Address(str(ip), int(port_text))
+    return state.Address(str(ip), port)
 
 
 def _check_address(text: str) -> str:
--- a/poplarloft/protocol/errors.py
+++ b/poplarloft/protocol/errors.py
@@ -1,8 +1,25 @@
 """Exceptions for rejected input."""
 
+from collections import abc
+import typing
+
+import msgspec
 import pydantic
 
-__all__ = ["FieldError", "ProtocolError", "first_field_error"]
+__all__ = ["FieldError", "ProtocolError", "decoded", "first_field_error"]
+
+MAX_REASON_CHARS = 200
+T = typing.TypeVar("T")
+# Deeply nested values exceed the recursion limit, numbers of thousands of
+# digits are a ValueError, and infinite ones an OverflowError.
+DECODING_ERRORS = (
+    msgspec.MsgspecError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class ProtocolError(ValueError):
@@ -26,6 +43,25 @@
         self.reason = reason
 
 
+def decoded(field: str, decode: abc.Callable[[], T]) -> T:
+    """Return a decoded value; raise whatever is wrong as a `FieldError`.
+
+    Parameters
+    ----------
+    field : str
+        Name of the value for the error message.
+    decode : callable
+        Decodes the value.
+    """
+    try:
+        return decode()
+    except ProtocolError:
+        raise
+    except DECODING_ERRORS as error:
+        reason = str(error)[:MAX_REASON_CHARS]
+        raise FieldError(field, reason) from error
+
+
 def first_field_error(error: pydantic.ValidationError) -> FieldError:
     """Return the first error of a failed validation as a `FieldError`."""
     details = error.errors(include_url=False)[0]
--- a/poplarloft/protocol/http.py
+++ b/poplarloft/protocol/http.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from poplarloft.protocol import errors
+from poplarloft.protocol import numbers
 from poplarloft import state
 
 __all__ = [
@@ -297,13 +298,14 @@
 def _parse_deadline_ms(value: str | None) -> int | None:
     if value is None:
         return None
-    if not value.isdecimal() or not 1 <= int(value) <= MAX_DEADLINE_MS:
+    deadline_ms = numbers.parse_count(value)
+    if deadline_ms is None or not 1 <= deadline_ms <= MAX_DEADLINE_MS:
         raise errors.FieldError(
             "Poplarloft-Deadline-Ms",
             f"expected a whole number of milliseconds from 1 to "
             f"{MAX_DEADLINE_MS}, got {value[:80]!r}",
         )
-    return int(value)
+    return deadline_ms
 
 
 def _parse_choice(
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -160,10 +160,7 @@
 
 def decode_record(value: bytes) -> state.LotRecord:
     """Return a lot's record; raises `FieldError` if malformed."""
-    try:
-        return _RECORD.decode(value)
-    except msgspec.MsgspecError as error:
-        raise errors.FieldError("lot record", str(error)) from error
+    return errors.decoded("lot record", lambda: _RECORD.decode(value))
 
 
 def encode_head(total: int) -> bytes:
@@ -173,10 +170,7 @@
 
 def decode_head(value: bytes) -> int:
     """Return the number of a lot's items; raises `FieldError` if malformed."""
-    try:
-        return _HEAD.decode(value)
-    except msgspec.MsgspecError as error:
-        raise errors.FieldError("lot head", str(error)) from error
+    return errors.decoded("lot head", lambda: _HEAD.decode(value))
 
 
 def encode_batch(results: tuple[state.LotResult, ...]) -> bytes:
@@ -186,10 +180,7 @@
 
 def decode_batch(value: bytes) -> tuple[state.LotResult, ...]:
     """Return the results of a batch; raises `FieldError` if malformed."""
-    try:
-        return _BATCH.decode(value)
-    except msgspec.MsgspecError as error:
-        raise errors.FieldError("lot batch", str(error)) from error
+    return errors.decoded("lot batch", lambda: _BATCH.decode(value))
 
 
 def encode_checkpoints(
@@ -201,10 +192,9 @@
 
 def decode_checkpoints(value: bytes) -> tuple[state.CheckpointIncrement, ...]:
     """Return a batch of checkpoints; raises `FieldError` if malformed."""
-    try:
-        return _CHECKPOINTS.decode(value)
-    except msgspec.MsgspecError as error:
-        raise errors.FieldError("checkpoint batch", str(error)) from error
+    return errors.decoded(
+        "checkpoint batch", lambda: _CHECKPOINTS.decode(value)
+    )
 
 
 def encode_crashes(notice: state.CrashNotice) -> bytes:
@@ -214,7 +204,4 @@
 
 def decode_crashes(value: bytes) -> state.CrashNotice:
     """Return news of crashes; raises `FieldError` if malformed."""
-    try:
-        return _CRASHES.decode(value)
-    except msgspec.MsgspecError as error:
-        raise errors.FieldError("crash notice", str(error)) from error
+    return errors.decoded("crash notice", lambda: _CRASHES.decode(value))
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -57,11 +57,12 @@
 
 def decode_message(data: bytes) -> state.ServingMessage:
     """Return a message; raises `FieldError` if malformed."""
-    try:
-        type_index, raw = _ENVELOPE.decode(data)
-        return _DECODERS[type_index].decode(raw)
-    except (msgspec.MsgspecError, IndexError) as error:
-        raise errors.FieldError("serving message", str(error)) from error
+    return errors.decoded("serving message", lambda: _decode_message(data))
+
+
+def _decode_message(data: bytes) -> state.ServingMessage:
+    type_index, raw = _ENVELOPE.decode(data)
+    return _DECODERS[type_index].decode(raw)
 
 
 def encode_leader(record: state.LeaderRecord) -> bytes:
@@ -97,7 +98,4 @@
 def _decode(
     decoder: msgspec.msgpack.Decoder[T], value: bytes, field: str
 ) -> T:
-    try:
-        return decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise errors.FieldError(field, str(error)) from error
+    return errors.decoded(field, lambda: decoder.decode(value))
--- a/poplarloft/transport/connections.py
+++ b/poplarloft/transport/connections.py
@@ -24,7 +24,7 @@
 # Subtracted from the announced timeout, since a request sent just before the
 # expiry is reset.
 EXPIRY_MARGIN_S = 0.3
-KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
 
 
 class _CountingReader(asyncio.StreamReader):
