Answer every request before a planned stop ends

What operators reported: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer, among them requests that may not be repeated.

Cause: the drain waits for the open exchanges, then closes what is left; nothing that passes requests on knew of that end.

Fix: the forwarder knows it. A request that may run only once is refused as not run if all its time would not fit before the end, any other if its objective would not; what was passed on, also before the stop, is given up a little before the end and answered with the verdict that holds. Responses that stream to their client already can still be cut.

--- a/poplarloft/daemon/serving/attempt_history.py
+++ b/poplarloft/daemon/serving/attempt_history.py
@@ -23,6 +23,8 @@
         Number of attempts at upstreams that crashed or did not listen.
     may_have_run : bool
         Whether an upstream may have run the request.
+    is_sent : bool
+        Whether an attempt is under way.
     detail : str
         Why there is no response so far.
     limited_for_ms : int or None
@@ -38,6 +40,7 @@
     names: list[str] = dataclasses.field(default_factory=list)
     uncounted: int = 0
     may_have_run: bool = False
+    is_sent: bool = False
     detail: str = "no upstream is available"
     limited_for_ms: int | None = None
     status: coordination.FingerprintStatus = Status.CLEAR
@@ -64,6 +67,12 @@
             self.refusal = state.Reason.STREAM_UNKNOWN
             self.detail = "no instance knows which version began the stream"
 
+    def on_stopped(self) -> None:
+        """Give the request up, since the process stops."""
+        self.may_have_run |= self.is_sent
+        self.refusal = state.Reason.STOPPING
+        self.detail = "this instance has stopped before the response"
+
     def reason(self, is_late: bool) -> state.Reason:
         """Return why the request gets no response of an upstream.
 
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -30,6 +30,7 @@
 
 MS_PER_S = 1_000
 EXIT_MARGIN_MS = 500
+RESPONSE_MARGIN_MS = 300  # for the last responses to be written
 START_RETRY_MS = 100  # about the duration of the first listing of the store
 # Pause between two watches, as a fraction of the time allowed to notice that
 # an upstream is leaving.
@@ -161,6 +162,10 @@
         self.is_stopping = True
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self.settings.grace_s
+        margin_ms = EXIT_MARGIN_MS + RESPONSE_MARGIN_MS
+        self.forwarder.stopping.set(
+            max(0, self.settings.grace_s * MS_PER_S - margin_ms)
+        )
         await asyncio.sleep(self.settings.drain_notice_ms / MS_PER_S)
         remaining_ms = (end_s - loop.time()) * MS_PER_S - EXIT_MARGIN_MS
         cut = await self.request_server.drain(max(0, int(remaining_ms)))
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -13,6 +13,7 @@
 from poplarloft.daemon import quarantines
 from poplarloft.daemon.serving import attempt_history
 from poplarloft.daemon.serving import crash_guard
+from poplarloft.daemon.serving import stop_deadline
 from poplarloft.daemon.serving import stream_link
 from poplarloft.daemon.serving import upstream_choice
 from poplarloft.platform import ingress
@@ -77,17 +78,41 @@
         self.balancer = balancer
         self.guard = guard
         self.streams = streams
+        self.stopping = stop_deadline.StopDeadline()
         self.chooser = chooser
 
     async def handle(
         self, call: ingress.ForwardedCall, route: state.PathRoute
     ) -> http.HttpResponse:
-        """Return the upstream's response, or a refusal."""
+        """Return the upstream's response, or a refusal.
+
+        While the process stops, a request that may not end in time is
+        refused, and one that does not end in time is given up.
+        """
         allowed_ms = min(call.deadline_ms, route.timeout_ms)
+        history = attempt_history.AttemptHistory()
+        if not self.stopping.has_time_for(route, allowed_ms):
+            history.refusal = state.Reason.STOPPING
+            history.detail = "this instance stops before the request may end"
+        try:
+            async with self.stopping.applied():
+                return await self._forward(call, route, allowed_ms, history)
+        except TimeoutError:
+            history.on_stopped()
+            identified = crash_guard.IdentifiedCall(call)
+            now_ms = self.clock.now_ms()
+            return self._refuse(identified, route, history, now_ms)
+
+    async def _forward(
+        self,
+        call: ingress.ForwardedCall,
+        route: state.PathRoute,
+        allowed_ms: int,
+        history: attempt_history.AttemptHistory,
+    ) -> http.HttpResponse:
         started_ms = self.clock.now_ms()
         deadline_ms = started_ms + allowed_ms - RESPONSE_MARGIN_MS
         service = self.chooser.pick_service(route)
-        history = attempt_history.AttemptHistory()
         if route.kind is state.RouteKind.STREAM and call.takes_up_stream:
             origin = await self.streams.origin_of(
                 call.resumed_stream_key(), route, call.id
@@ -165,6 +190,7 @@
         started_ms = self.clock.now_ms()
         self.balancer.on_send(sampler)
         flight = self.guard.begin(identified, sampler)
+        history.is_sent = True
         response: http.HttpResponse | None = None
         try:
             sent = await self.client.forward(
@@ -185,6 +211,7 @@
                     await self._on_failure(
                         identified, sampler, failure, history
                     )
+            history.is_sent = False
             return self._watched(response, flight, identified)
         finally:
             if response is None or isinstance(response.body, bytes):
--- a/poplarloft/state/verdict.py
+++ b/poplarloft/state/verdict.py
@@ -36,6 +36,7 @@
     CLAIM_EXPIRED = "claim-expired"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     QUARANTINED = "quarantined"
+    STOPPING = "stopping"
     STREAM_UNKNOWN = "stream-unknown"
     STALE_FENCE = "stale-fence"
     NOT_READY = "not-ready"
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -151,6 +151,7 @@
         self.uses_change_feed = False
         self.change_bound_ms = CHANGE_BOUND_MS
         self.order_turn_ms = None
+        self.grace_s = None
         self.has_members = False
 
     async def start(self, entries=1, bulks=1):
@@ -282,6 +283,8 @@
             arguments.append("--peer-listen=127.0.0.1:0")
         if self.has_members:
             arguments.append("--relay-listen=127.0.0.1:0")
+        if self.grace_s is not None:
+            arguments.append(f"--grace-s={self.grace_s}")
         if self.order_turn_ms is not None:
             arguments += [
                 "--engines-check-fence=false",
