Stop using upstreams that say that they leave

An upstream that leaves says so in all its responses, perhaps long before the store lists it as leaving, and nothing read it: requests reached it later than the time within which they must end, while siblings had room.

What responses say of an upstream is decoded in one place, beside the limit, also from probes, reports, orders, refusals, items and scores. A run of an upstream that has said so gets no further request, whatever is announced for it, until it starts anew; the registry holds that, so that all ways to an upstream keep to it. Where all upstreams of a service leave, they serve for half of the bound, then requests are refused as not run. Other instances are told as of limits: the issuers, of which the first tells everyone. Values that are not a single 1 are logged and say nothing. A connection lost to an upstream that leaves is no crash.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -29,6 +29,7 @@
 from poplarloft.coordination.serving.outputs import EventOrderError
 from poplarloft.coordination.serving.outputs import ItemOutput
 from poplarloft.coordination.serving.outputs import Stage
+from poplarloft.coordination.serving.permits import notice_recipients
 from poplarloft.coordination.serving.permits import Permit
 from poplarloft.coordination.serving.permits import PermitIssuer
 from poplarloft.coordination.serving.permits import PermitNeed
@@ -85,5 +86,6 @@
     "WeightLoadPlanner",
     "WriteBatch",
     "WriteHolder",
+    "notice_recipients",
     "rank_issuers",
 ]
--- a/poplarloft/coordination/serving/lost_runs.py
+++ b/poplarloft/coordination/serving/lost_runs.py
@@ -82,7 +82,8 @@
         self.pending.setdefault(sampler.engine_id, lost)
         if known is not None and known.born_ms != sampler.born_ms:
             return self._conclude(sampler.engine_id, "announced-anew")
-        if known is not None and known.is_leaving:
+        said_so = sampler.engine_id in self.samplers.leaving_since_ms
+        if said_so or (known is not None and known.is_leaving):
             return self._discard(sampler.engine_id, "was-leaving")
         if not self.samplers.is_current(sampler):
             return self._discard(sampler.engine_id, "was-removed")
--- a/poplarloft/coordination/serving/permits.py
+++ b/poplarloft/coordination/serving/permits.py
@@ -16,7 +16,13 @@
 from poplarloft.coordination.serving import engine_view
 from poplarloft import state
 
-__all__ = ["Permit", "PermitIssuer", "PermitNeed", "rank_issuers"]
+__all__ = [
+    "Permit",
+    "PermitIssuer",
+    "PermitNeed",
+    "notice_recipients",
+    "rank_issuers",
+]
 
 MS_PER_S = 1_000
 # Shares of the rate. Their sum leaves room for requests that arrive later
@@ -175,6 +181,36 @@
     return ranked[:ISSUER_COUNT]
 
 
+def notice_recipients(
+    name: str,
+    engine_id: engine_view.EngineId,
+    members: abc.Mapping[str, state.PeerRecord],
+) -> list[state.Address]:
+    """Return whom an instance tells of news of an upstream.
+
+    An instance tells the issuers of the upstream, and the first of these
+    tells everyone.
+
+    Parameters
+    ----------
+    name : str
+        The instance.
+    engine_id : tuple of (str, int)
+        The run of the upstream.
+    members : mapping of str to state.PeerRecord
+        All instances.
+    """
+    issuers = rank_issuers(engine_id, members)
+    names: abc.Iterable[str] = issuers
+    if issuers and issuers[0] == name:
+        names = members
+    return [
+        address
+        for other in names
+        if other != name and (address := members[other].peers) is not None
+    ]
+
+
 def _interval_ms(rate_per_s: float, is_deputy: bool) -> float:
     """Return the time between two requests that one issuer schedules."""
     share = DEPUTY_SHARE if is_deputy else FIRST_SHARE
--- a/poplarloft/coordination/serving/registry.py
+++ b/poplarloft/coordination/serving/registry.py
@@ -7,6 +7,7 @@
 __all__ = ["EXPIRY_GRACE_MS", "SamplerRegistry"]
 
 EXPIRY_GRACE_MS = 2_500  # announcements are back 2 s after an outage
+LEAVING_KEPT_MS = 3_600_000  # no upstream takes longer to leave
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,14 +26,23 @@
     store may only have expired, and its upstream stays eligible for
     `EXPIRY_GRACE_MS` after the store is available again.
 
+    A run that has said itself that it leaves gets no requests, whatever is
+    announced, for as long as it may be heard of. If no other upstream of its
+    service is left, it may be used for `last_use_ms` more.
+
     Parameters
     ----------
     clock : state.Clock
         Monotonic clock.
+    last_use_ms : int
+        Time for which the last upstreams of a service are used once they
+        have said that they leave.
     """
 
-    def __init__(self, clock: state.Clock) -> None:
+    def __init__(self, clock: state.Clock, last_use_ms: int = 0) -> None:
         self.clock = clock
+        self.last_use_ms = last_use_ms
+        self.leaving_since_ms: dict[tuple[str, int], int] = {}
         self.known: dict[str, state.Sampler] = {}
         self.expired: dict[str, _Expired] = {}
         self.available_since_ms: int | None = None
@@ -63,6 +73,20 @@
             until_ms = self.clock.now_ms() + EXPIRY_GRACE_MS
             self.expired[name] = _Expired(sampler, until_ms)
 
+    def on_leaving(self, engine_id: tuple[str, int]) -> bool:
+        """Record that a run has said that it leaves; return if it is news."""
+        if engine_id in self.leaving_since_ms:
+            return False
+        now_ms = self.clock.now_ms()
+        oldest_ms = now_ms - LEAVING_KEPT_MS
+        self.leaving_since_ms = {
+            run: since_ms
+            for run, since_ms in self.leaving_since_ms.items()
+            if since_ms >= oldest_ms
+        }
+        self.leaving_since_ms[engine_id] = now_ms
+        return True
+
     def keep_only(self, names: set[str]) -> list[str]:
         """Remove the upstreams that a complete listing lacks; return them."""
         missing = [name for name in self.known if name not in names]
@@ -79,11 +103,29 @@
             del self.expired[name]
         candidates = [*self.known.values()]
         candidates += [expired.sampler for expired in self.expired.values()]
-        return [
+        announced = [
             sampler
             for sampler in candidates
             if sampler.service == service and not sampler.is_leaving
         ]
+        if not self.leaving_since_ms:
+            return announced
+        return self._staying(announced) or self._last(announced, now_ms)
+
+    def _staying(self, announced: list[state.Sampler]) -> list[state.Sampler]:
+        leaving = self.leaving_since_ms
+        return [s for s in announced if s.engine_id not in leaving]
+
+    def _last(
+        self, announced: list[state.Sampler], now_ms: int
+    ) -> list[state.Sampler]:
+        """Return the upstreams that have said so only recently."""
+        since_ms = self.leaving_since_ms
+        return [
+            sampler
+            for sampler in announced
+            if now_ms - since_ms[sampler.engine_id] < self.last_use_ms
+        ]
 
     def engine_ids(self) -> set[tuple[str, int]]:
         """Return the runs of all upstreams that are known."""
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -3,11 +3,15 @@
 import random
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving import leaving_link
 from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving import response_notes
 from poplarloft.daemon.serving import store_relay
 from poplarloft.daemon.serving import stream_link
 from poplarloft.daemon.serving import upstream_limits
+from poplarloft.daemon.serving import view
 from poplarloft.daemon import tasks
+from poplarloft.platform import samplers
 from poplarloft.protocol import addresses
 from poplarloft.protocol import serving_settings
 from poplarloft import state
@@ -18,6 +22,9 @@
 FAR_MS = 60.0
 NEAR_MS = 2.0
 CONNECT_TIMEOUT_MS = 400
+# Part of the time within which an upstream that leaves must get no more
+# requests.
+LAST_USE_SHARE = 0.5
 LIVE_SETTINGS = frozenset({"store", "regions", "grace_s", "drain_notice_ms"})
 
 
@@ -79,6 +86,24 @@
             and getattr(before, name) != getattr(settings, name)
         ]
 
+    @property
+    def last_use_ms(self) -> int:
+        """Time for which the last upstreams that leave are used, in ms."""
+        return int(LAST_USE_SHARE * self.settings.leaving_bound_ms)
+
+    def make_sampler_client(
+        self, sampler_view: view.SamplerView
+    ) -> samplers.SamplerClient:
+        """Return a client that notes what upstreams say of themselves."""
+        leaving = leaving_link.LeavingLink(
+            self.settings.name,
+            self.peers,
+            lambda: self.relay.members,
+            sampler_view,
+        )
+        notes = response_notes.ResponseNotes(self.limits, leaving)
+        return samplers.SamplerClient(self.client, notes)
+
     async def start_relay(self) -> None:
         """Start relaying store calls of peers if `relay_listen` is set."""
         if self.settings.peer_listen is not None:
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -13,7 +13,6 @@
 from poplarloft.daemon.serving import store_views
 from poplarloft.platform import documents
 from poplarloft.platform import names
-from poplarloft.platform import samplers
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import serving_settings
@@ -51,7 +50,8 @@
         self.feed = feed_link.FeedLink(
             self.clock, settings.name, MAX_CHANGE_DELAY_MS, self.peers
         )
-        self.views = store_views.StoreViews.make(self.clock)
+        self.views = store_views.StoreViews.make(self.clock, self.last_use_ms)
+        self.sampler_client = self.make_sampler_client(self.views.samplers)
         self.views.operator.listeners.append(self._confirm_retirements)
         self.views.samplers.listeners.append(
             lambda: self.limits.follow(self.views.samplers.registry)
@@ -118,7 +118,7 @@
             self.clock,
             self.wall_clock,
             self.store,
-            samplers.SamplerClient(self.client, self.limits),
+            self.sampler_client,
             self.settings.name,
             fence,
             self.make_balancer(),
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -50,9 +50,11 @@
         super().__init__(settings)
         self.operator = view.OperatorView(self.clock)
         self.samplers = view.SamplerView(
-            self.clock, int(WATCH_PAUSE_SHARE * settings.leaving_bound_ms)
+            self.clock,
+            int(WATCH_PAUSE_SHARE * settings.leaving_bound_ms),
+            self.last_use_ms,
         )
-        client = samplers.SamplerClient(self.client, self.limits)
+        client = self.make_sampler_client(self.samplers)
         self.guard = self._make_guard(client)
         balancer = self.make_balancer()
         chooser = upstream_choice.UpstreamChooser(
--- a/poplarloft/daemon/serving/permit_link.py
+++ b/poplarloft/daemon/serving/permit_link.py
@@ -65,7 +65,9 @@
         known = self.table.report_of(engine_id)
         if known is None:
             return
-        shared_with = self._recipients(engine_id)
+        shared_with = serving.notice_recipients(
+            self.name, engine_id, self.members()
+        )
         eliot.log_message(
             "limit-ended" if known.rate_per_s is None else "limit-named",
             upstream=known.upstream,
@@ -187,31 +189,15 @@
         if self.table.on_report(report):
             self.on_change(report.engine_id)
 
-    def _recipients(self, engine_id: serving.EngineId) -> list[state.Address]:
-        """Return whom this instance tells of a changed limit.
-
-        An instance tells the issuers of the upstream, and the first of
-        these tells everyone.
-        """
-        members = self.members()
-        issuers = serving.rank_issuers(engine_id, members)
-        names: abc.Iterable[str] = issuers
-        if issuers and issuers[0] == self.name:
-            names = members
-        return [
-            address
-            for name in names
-            if name != self.name
-            and (address := members[name].peers) is not None
-        ]
-
     def _send_notices(self) -> None:
         reports: dict[state.Address, list[state.LimitReport]] = {}
         for engine_id in self.changed:
             known = self.table.report_of(engine_id)
             if known is None:
                 continue
-            for address in self._recipients(engine_id):
+            for address in serving.notice_recipients(
+                self.name, engine_id, self.members()
+            ):
                 reports.setdefault(address, []).append(known)
         self.changed.clear()
         for address, known_reports in reports.items():
--- a/poplarloft/daemon/serving/store_views.py
+++ b/poplarloft/daemon/serving/store_views.py
@@ -23,11 +23,15 @@
     lots: lots_view.LotsView
 
     @classmethod
-    def make(cls, clock: state.Clock) -> "StoreViews":
-        """Return views that are empty until they are started."""
+    def make(cls, clock: state.Clock, last_use_ms: int) -> "StoreViews":
+        """Return views that are empty until they are started.
+
+        The last upstreams of a service that leave are used for
+        `last_use_ms`.
+        """
         return cls(
             view.OperatorView(clock, names.OPERATOR_PREFIX),
-            view.SamplerView(clock, SAMPLER_PAUSE_MS),
+            view.SamplerView(clock, SAMPLER_PAUSE_MS, last_use_ms),
             lots_view.LotsView(clock),
         )
 
--- a/poplarloft/daemon/serving/tests/test_rewards.py
+++ b/poplarloft/daemon/serving/tests/test_rewards.py
@@ -26,7 +26,7 @@
 @pytest.fixture
 def caller():
     clock = state.MonotonicClock()
-    samplers = view.SamplerView(clock, 0)
+    samplers = view.SamplerView(clock, 0, 0)
     samplers.registry.announce(BUSY)
     samplers.registry.announce(LIMITED)
     limits = upstream_limits.UpstreamLimits(
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/view.py
@@ -123,11 +123,16 @@
         Monotonic clock.
     pause_ms : int
         Pause between two watches.
+    last_use_ms : int
+        Time for which the last upstreams of a service are used once they
+        have said that they leave.
     """
 
-    def __init__(self, clock: state.Clock, pause_ms: int) -> None:
+    def __init__(
+        self, clock: state.Clock, pause_ms: int, last_use_ms: int
+    ) -> None:
         self.clock = clock
-        self.registry = serving.SamplerRegistry(clock)
+        self.registry = serving.SamplerRegistry(clock, last_use_ms)
         self.pause_ms = pause_ms
         self.listeners: list[Listener] = []
         self.is_listed = asyncio.Event()
@@ -173,6 +178,13 @@
             )
         self._notify_listeners()
 
+    def on_leaving(self, engine_id: serving.EngineId) -> bool:
+        """Record that a run leaves; return whether it was not known."""
+        is_news = self.registry.on_leaving(engine_id)
+        if is_news:
+            self._notify_listeners()
+        return is_news
+
     def on_store_unavailable(self) -> None:
         """Delay the effect of removals around the outage."""
         self.registry.on_store_unavailable()
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -29,6 +29,7 @@
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"  # the attempt that brought a stream's first event
 RETRY_AFTER = "retry-after"
+LEAVING = "server-leaving"
 RATE_LIMIT = "server-limit"  # requests per second of all instances
 
 OPERATOR_PREFIX = "op/"
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -11,8 +11,8 @@
 from returns import result
 
 from poplarloft.coordination import retries
-from poplarloft.platform import limits
 from poplarloft.platform import names
+from poplarloft.platform import response_notes
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
 from poplarloft.protocol import numbers
@@ -99,12 +99,17 @@
 
 
 class ResponseObserver(typing.Protocol):
-    """Is told what the responses of upstreams say about their limits."""
+    """Is told what the responses of upstreams say of these."""
 
     def on_response(
-        self, sampler: state.Sampler, named: state.NamedLimit, request_id: str
+        self, sampler: state.Sampler, note: state.ResponseNote
     ) -> None:
-        """Take note of what the response to one request says."""
+        """Take note of what the response to a request says."""
+
+    def on_control_response(
+        self, sampler: state.Sampler, note: state.ResponseNote
+    ) -> None:
+        """Take note of the response to a probe, a report or an order."""
 
 
 class SamplerClient:
@@ -119,7 +124,7 @@
     client : http_client.HttpClient
         Pooled connections.
     observer : ResponseObserver
-        Learns the limits that upstreams name.
+        Learns what upstreams say of themselves.
     """
 
     def __init__(
@@ -244,6 +249,7 @@
         )
         match sent:
             case result.Success(response):
+                self._observe_control(sampler, response)
                 await discard(response)
                 return OrderStatus(response.status)
         return OrderStatus(0)
@@ -259,9 +265,10 @@
             timeout_ms=CALL_TIMEOUT_MS,
         )
         match sent:
-            case result.Success(response) if response.status == OK:
-                return await _read_report(response)
             case result.Success(response):
+                self._observe_control(sampler, response)
+                if response.status == OK:
+                    return await _read_report(response)
                 response.close()
         return None
 
@@ -277,7 +284,10 @@
         )
         match sent:
             case result.Success(response):
-                return await _probe_outcome(sampler, response)
+                outcome = await _probe_outcome(sampler, response)
+                if outcome is not state.ProbeOutcome.OTHER_RUN:
+                    self._observe_control(sampler, response)
+                return outcome
             case result.Failure(failure):
                 if failure.kind is FailureKind.CONNECT_REFUSED:
                     return state.ProbeOutcome.REFUSED
@@ -293,7 +303,7 @@
         timeout_ms: int = CALL_TIMEOUT_MS,
         new_connection: bool = False,
     ) -> Outcome:
-        """Send a request, and take note of a limit that the response names.
+        """Send a request, and take note of what the response says.
 
         A misdirected request was answered by another upstream.
         """
@@ -309,12 +319,17 @@
         match sent:
             case result.Success(response) if response.status != MISDIRECTED:
                 self.observer.on_response(
-                    sampler,
-                    limits.named_limit(response),
-                    response.headers.get(names.REQUEST_ID, ""),
+                    sampler, response_notes.note_of(response)
                 )
         return sent
 
+    def _observe_control(
+        self, sampler: state.Sampler, response: http_client.UpstreamResponse
+    ) -> None:
+        if response.status != MISDIRECTED:
+            note = response_notes.note_of(response)
+            self.observer.on_control_response(sampler, note)
+
 
 async def discard(response: http_client.UpstreamResponse) -> None:
     """Read the rest of a response, so that its connection can be reused.
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -38,6 +38,7 @@
     state.StreamNotice,
     state.StreamLookup,
     state.StreamAnswer,
+    state.LeavingNotice,
 ]
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _DECODERS = [
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -102,11 +102,13 @@
 from poplarloft.state.upstream import Upstream
 from poplarloft.state.upstream import UpstreamKind
 from poplarloft.state.upstream import UpstreamStatus
+from poplarloft.state.upstream_limits import LeavingNotice
 from poplarloft.state.upstream_limits import LimitNotice
 from poplarloft.state.upstream_limits import LimitReport
 from poplarloft.state.upstream_limits import NamedLimit
 from poplarloft.state.upstream_limits import PermitAnswer
 from poplarloft.state.upstream_limits import PermitRequest
+from poplarloft.state.upstream_limits import ResponseNote
 from poplarloft.state.usage import UsageDispute
 from poplarloft.state.usage import UsageEntry
 from poplarloft.state.usage import UsageSegment
@@ -155,6 +157,7 @@
     "LeaderAnnouncement",
     "LeaderRecord",
     "Lease",
+    "LeavingNotice",
     "LeavingUpdate",
     "Ledger",
     "LedgerId",
@@ -192,6 +195,7 @@
     "Reason",
     "Refusal",
     "ReleaseBody",
+    "ResponseNote",
     "ResultPage",
     "RevisionStore",
     "RewardCall",
--- a/poplarloft/state/serving_messages.py
+++ b/poplarloft/state/serving_messages.py
@@ -22,6 +22,7 @@
     | upstream_limits.LimitNotice
     | upstream_limits.PermitRequest
     | upstream_limits.PermitAnswer
+    | upstream_limits.LeavingNotice
     | crashes.CrashNotice
     | streams.StreamNotice
     | streams.StreamLookup
--- a/poplarloft/state/upstream_limits.py
+++ b/poplarloft/state/upstream_limits.py
@@ -1,8 +1,7 @@
-"""Request rates that upstreams limit themselves to, and permits for them.
+"""What upstreams say in responses: their limits, and that they leave.
 
-An upstream names the rate in its responses; it holds for the requests of
-all instances together. An issuer is an instance that hands out permits for
-the requests to an upstream.
+A limit is a rate that holds for the requests of all instances together. An
+issuer is an instance that hands out permits for the requests to an upstream.
 """
 
 import dataclasses
@@ -10,11 +9,13 @@
 from poplarloft.state import identity
 
 __all__ = [
+    "LeavingNotice",
     "LimitNotice",
     "LimitReport",
     "NamedLimit",
     "PermitAnswer",
     "PermitRequest",
+    "ResponseNote",
 ]
 
 
@@ -36,6 +37,52 @@
     error: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseNote:
+    """What one response of an upstream says of the upstream.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the request, empty if the response repeats none.
+    limit : NamedLimit
+        The limit that it names, if any.
+    is_leaving : bool
+        Whether it says that the upstream leaves.
+    leaving_error : str
+        Why it cannot be told whether it says so; empty if it can.
+    """
+
+    request_id: str
+    limit: NamedLimit
+    is_leaving: bool = False
+    leaving_error: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """News that one run of an upstream leaves, sent to other instances.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    born_ms : int
+        Unix time at which that run of it started.
+    heard_by : str
+        Name of the instance that got the response that said so.
+    """
+
+    upstream: str
+    born_ms: int
+    heard_by: str
+
+    @property
+    def engine_id(self) -> tuple[str, int]:
+        """Name and start time, which identify one run of the upstream."""
+        return self.upstream, self.born_ms
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitReport:
     """An instance's knowledge of the limit of one run of an upstream.
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -16,6 +16,7 @@
 __all__ = ["SamplerStandin"]
 
 MS_PER_S = 1_000
+MISDIRECTED = 421
 
 
 class SamplerStandin:
@@ -60,6 +61,10 @@
         Version of the upstream's software, as announced.
     names_version : bool
         Whether each event names that version.
+    leaving_headers : tuple of (str, str)
+        Headers of all its responses that tell whether it leaves.
+    leaving_since : float or None
+        Monotonic time in seconds of the first response with them.
     checks_fence : bool
         Whether orders with an older fencing token are refused.
     order_times : list of float
@@ -87,6 +92,8 @@
         self.order_times: list[float] = []
         self.software_version = "v1"
         self.names_version = False
+        self.leaving_headers: http.Headers = ()
+        self.leaving_since: float | None = None
         self.checks_fence = True
         self.fence = 0
         self.rate = rate_check.RateCheck()
@@ -163,9 +170,19 @@
         )
 
     async def _handle(self, request: http.HttpRequest) -> http.HttpResponse:
+        response = await self._respond(request)
+        if not self.leaving_headers or response.status == MISDIRECTED:
+            return response
+        self.leaving_since = self.leaving_since or time.monotonic()
+        headers = (*response.headers, *self.leaving_headers)
+        return dataclasses.replace(response, headers=headers)
+
+    async def _respond(self, request: http.HttpRequest) -> http.HttpResponse:
         expected = request.headers.get("x-expect-instance", self.name)
         if expected != self.name:
-            return http.HttpResponse(421, (("X-Instance-Id", self.name),))
+            return http.HttpResponse(
+                MISDIRECTED, (("X-Instance-Id", self.name),)
+            )
         if request.path == "/poplarloft/report":
             return self._report()
         if request.path == "/poplarloft/order":
