Play versions, take-ups and leaving upstreams in the soak

Upstreams of two software versions, which change when one starts again under its name; clients that leave streams and take them up elsewhere; services that say that they leave. Checked as clients and upstreams see it: no text or stream holds events of two versions, and an upstream that leaves gets no more than each instance's first request. The series of leaving upstreams draws from numbers of its own, so that known seeds keep their faults.

--- a/poplarloft_soak/__main__.py
+++ b/poplarloft_soak/__main__.py
@@ -20,6 +20,7 @@
 FAULT_FREE_S = 4.0
 CALLERS = 4
 TRAINERS = 2
+STREAM_CLIENTS = 2
 
 
 async def run_seed(
@@ -37,6 +38,8 @@
         for number in range(CALLERS):
             tasks.append(loop.create_task(callers.send_calls(number)))
         tasks.append(loop.create_task(callers.send_poison()))
+        for number in range(STREAM_CLIENTS):
+            tasks.append(loop.create_task(callers.run_streams(number)))
         for number in range(TRAINERS):
             tasks.append(loop.create_task(callers.run_lots(number)))
         await plan.run(seconds)
@@ -63,6 +66,10 @@
         "calls": {str(key): n for key, n in sorted(statuses.items())},
         "lots": len(callers.lots),
         "lots_whole": complete,
+        "streams": len(callers.streams),
+        "streams_whole": sum(
+            len(s.events) == clients.STREAM_EVENTS for s in callers.streams
+        ),
         "crashes": sum(len(s.crashes) for s in world.services),
         "logs": str(folder),
     }
--- a/poplarloft_soak/checks.py
+++ b/poplarloft_soak/checks.py
@@ -13,6 +13,7 @@
 MIN_SERVED_SHARE = 0.9
 NEWS_BOUND_S = 4.0  # within which all instances know of a crash
 POISON_RETRIES = 3
+LEAVING_BOUND_S = 3.0
 # Faults of instances and of their connections, and how long after one it
 # may still be felt.
 INSTANCE_FAULTS = ("daemon-", "herd-", "store-", "link-")
@@ -45,6 +46,8 @@
         found += [f"{upstream.name}: {x}" for x in upstream.rate.exceeded]
     found += _check_recovery(callers, healed_at_s)
     found += _check_poison(world, injected)
+    found += _check_streams(callers)
+    found += _check_leaving(world, callers)
     found += [
         f"{daemon.name} exited without being stopped"
         for daemon in world.daemons
@@ -102,8 +105,11 @@
         return []
     found = []
     expected = [f"{item}-{n}" for n in range(1, lot.items[item] + 1)]
-    if row["text"].split("\n") != expected:
+    events = [line.partition("@") for line in row["text"].split("\n")]
+    if [event for event, _, _ in events] != expected:
         found.append(f"{item} has output that is not its own")
+    if len({version for _, _, version in events}) > 1:
+        found.append(f"{item} joins events of two software versions")
     if any(version < lot.min_version for version in row["versions"]):
         found.append(f"{item} has versions {row['versions']}")
     if not row["score"].endswith(f".r-{item}"):
@@ -162,6 +168,37 @@
     return []
 
 
+def _check_streams(callers: clients.Callers) -> list[str]:
+    """Check that no stream holds events of two software versions."""
+    found = []
+    for stream in callers.streams:
+        versions = {event.partition("@")[2] for event in stream.events}
+        if len(versions) > 1:
+            found.append(f"{stream.id} joins events of {sorted(versions)}")
+    return found
+
+
+def _check_leaving(world: worlds.World, callers: clients.Callers) -> list[str]:
+    """Check what upstreams get that have said that they leave.
+
+    An instance that was not told hears it from its first response.
+    """
+    sent_at_s = {call.id: call.at_s for call in callers.calls}
+    found = []
+    for upstream in world.services:
+        since_s = upstream.leaving_since
+        if since_s is None:
+            continue
+        late = [
+            run
+            for run in upstream.runs
+            if sent_at_s.get(run, 0.0) > since_s + LEAVING_BOUND_S
+        ]
+        if len(late) > len(world.daemons):
+            found.append(f"{upstream.name} leaves and got {late}")
+    return found
+
+
 def _check_recovery(callers: clients.Callers, healed_at_s: float) -> list[str]:
     after = [
         call
--- a/poplarloft_soak/clients.py
+++ b/poplarloft_soak/clients.py
@@ -12,7 +12,13 @@
 from poplarloft.transport import http_client
 from poplarloft_soak import world as worlds
 
-__all__ = ["CallRecord", "Callers", "LotRecord", "POISON_PREFIX"]
+__all__ = [
+    "CallRecord",
+    "Callers",
+    "LotRecord",
+    "POISON_PREFIX",
+    "StreamRecord",
+]
 
 MAX_BODY_BYTES = 1_000_000
 CALL_INTERVAL_S = 0.04
@@ -21,6 +27,8 @@
 CALL_TIMEOUT_MS = 2_500
 LOT_TIMEOUT_S = 60
 GROUPS = 2
+STREAM_EVENTS = 30
+STREAM_ATTEMPTS = 6
 
 
 @dataclasses.dataclass
@@ -65,6 +73,19 @@
         return 202 in self.statuses
 
 
+@dataclasses.dataclass
+class StreamRecord:
+    """One stream as its client saw it, over all its attempts.
+
+    `first_attempt` is the identifier of the attempt that brought its first
+    event, empty before that.
+    """
+
+    id: str
+    events: list[str] = dataclasses.field(default_factory=list)
+    first_attempt: str = ""
+
+
 class Callers:
     """All clients of a world; they keep using open connections.
 
@@ -82,6 +103,7 @@
         self.client = http_client.HttpClient()
         self.calls: list[CallRecord] = []
         self.lots: list[LotRecord] = []
+        self.streams: list[StreamRecord] = []
         self.is_stopping = False
 
     async def send_calls(self, number: int) -> None:
@@ -94,6 +116,64 @@
             path = "/p/1" if repeatable else "/once/1"
             await self._call(f"c{number}-{count}", path, repeatable)
 
+    async def run_streams(self, number: int) -> None:
+        """Begin streams, leave them and take them up elsewhere."""
+        count = 0
+        while not self.is_stopping:
+            count += 1
+            stream = StreamRecord(f"s{number}-{count}")
+            self.streams.append(stream)
+            for attempt in range(1, STREAM_ATTEMPTS + 1):
+                if len(stream.events) < STREAM_EVENTS:
+                    await self._read_stream(stream, attempt)
+                    await asyncio.sleep(CALL_INTERVAL_S)
+
+    async def _read_stream(self, stream: StreamRecord, attempt: int) -> None:
+        """Read some more events of a stream."""
+        attempt_id = f"{stream.id}-{attempt}"
+        headers = [
+            ("host", worlds.HOST),
+            ("x-request-id", attempt_id),
+            ("x-model", worlds.MODEL),
+            ("x-token-counts", f"10,{71 * STREAM_EVENTS}"),
+            ("x-deadline-ms", "2000"),
+        ]
+        if stream.first_attempt:
+            headers.append(("last-event-id", str(len(stream.events))))
+            headers.append(("resumes", stream.first_attempt))
+        sent = await self.client.send(
+            self.rng.choice(self.world.entries()).request_address,
+            "POST",
+            "/r/1",
+            headers,
+            stream.id.encode(),
+            CALL_TIMEOUT_MS,
+        )
+        match sent:
+            case result.Success(response):
+                if response.status == 200:
+                    await self._read_events(stream, attempt_id, response)
+                response.close()
+
+    async def _read_events(
+        self,
+        stream: StreamRecord,
+        attempt_id: str,
+        response: http_client.UpstreamResponse,
+    ) -> None:
+        most = len(stream.events) + self.rng.randint(1, STREAM_EVENTS)
+        buffer = b""
+        try:
+            async for piece in response.chunks():
+                *blocks, buffer = (buffer + piece).split(b"\n\n")
+                for block in blocks:
+                    stream.events.append(block.decode().rpartition(" ")[2])
+                    stream.first_attempt = stream.first_attempt or attempt_id
+                if len(stream.events) >= most:
+                    return
+        except http_client.TruncatedResponseError:
+            return
+
     async def send_poison(self) -> None:
         """Send a request that crashes upstreams until `is_stopping`."""
         count = 0
--- a/poplarloft_soak/faults.py
+++ b/poplarloft_soak/faults.py
@@ -34,8 +34,9 @@
     def __init__(self, world: worlds.World, seed: int) -> None:
         self.world = world
         self.rng = random.Random(seed)
-        # limits have their own, so that known seeds keep their faults
+        # later series have their own, so that known seeds keep their faults
         self.limit_rng = random.Random(f"limits {seed}")
+        self.leave_rng = random.Random(f"leaves {seed}")
         self.injected: list[tuple[float, str]] = []
         self.kinds: dict[str, Fault] = {
             "daemon-killed": self._kill_daemon,
@@ -64,6 +65,7 @@
         end_s = time.monotonic() + seconds
         await asyncio.gather(
             self._limit_upstreams(end_s),
+            self._let_services_leave(end_s),
             *(self._run_series(end_s) for _ in range(CONCURRENT_SERIES)),
         )
         self.heal()
@@ -102,6 +104,16 @@
             upstream.rate.set_limit(None)
             await asyncio.sleep(self.limit_rng.uniform(0.0, 4.0))
 
+    async def _let_services_leave(self, end_s: float) -> None:
+        """Let a service say that it leaves, then start it anew."""
+        while time.monotonic() < end_s:
+            await asyncio.sleep(self.leave_rng.uniform(2.0, 8.0))
+            service = self.leave_rng.choice(self.world.services)
+            service.leaving_headers = (("Server-Leaving", "1"),)
+            self.injected.append((time.monotonic(), "upstream-leaves"))
+            await asyncio.sleep(self.leave_rng.uniform(3.0, 6.0))
+            await self.world.restart(service, RESTART_DELAY_S)
+
     def _choose_daemon(self) -> processes.DaemonProcess:
         return self.rng.choice(self.world.daemons)
 
--- a/poplarloft_soak/world.py
+++ b/poplarloft_soak/world.py
@@ -21,6 +21,7 @@
 EXPIRY_DELAY_S = 1.0
 SENDER_SETTLING_S = 4.0
 CRASH_MARKER = b"poison"
+VERSIONS = ("v1", "v2")
 
 
 class World:
@@ -56,6 +57,7 @@
         self.daemons: list[processes.DaemonProcess] = []
         self.configuration_version = 0
         self.weight_version = 1
+        self.releases = 0
         self.stopped_upstreams: set[str] = set()
 
     async def start(self) -> None:
@@ -65,6 +67,10 @@
             await upstream.start()
             await self._start_link(upstream.name, upstream.address)
             upstream.advertised = self.links[upstream.name].address
+            upstream.names_version = True
+            await self.announce(upstream)
+        for upstream in (*self.engines[1:], *self.services[1:]):
+            upstream.software_version = VERSIONS[1]
             await self.announce(upstream)
         for service in self.services:
             service.crash_marker = CRASH_MARKER
@@ -119,6 +125,10 @@
         upstream.fence = 0
         upstream.running = 0
         upstream.born_ms = int(time.time() * MS_PER_S)
+        upstream.leaving_headers, upstream.leaving_since = (), None
+        # The next run under its name has the other software version.
+        self.releases += 1
+        upstream.software_version = VERSIONS[self.releases % len(VERSIONS)]
         await upstream.start()
         await self.announce(upstream)
         self.stopped_upstreams.discard(upstream.name)
@@ -177,6 +187,10 @@
             "routes": [
                 route("plain", "/p/", "idempotent", "app"),
                 route("once", "/once/", "non_idempotent", "app"),
+                {
+                    **route("resumable", "/r/", "stream", "app"),
+                    "resumable": True,
+                },
                 route("lots", "/l/", "rollout", "pool"),
             ],
             "services": [
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -60,7 +60,7 @@
     software_version : str
         Version of the upstream's software, as announced.
     names_version : bool
-        Whether each event names that version.
+        Whether each event names that version at its end.
     leaving_headers : tuple of (str, str)
         Headers of all its responses that tell whether it leaves.
     leaving_since : float or None
@@ -253,7 +253,7 @@
                 await asyncio.sleep(self.event_ms / MS_PER_S)
                 data = f"{request_id}-{number}"
                 if self.names_version:
-                    data = f"{number}@{self.software_version}"
+                    data = f"{data}@{self.software_version}"
                 yield f"id: {number}\ndata: {data}\n\n".encode()
         finally:
             self.running -= 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """A short run of the soak, and its checks on records with violations."""
 
+import dataclasses
 import pathlib
 
 import pytest
@@ -119,3 +120,18 @@
     assert "came again" in found
     excuse = [(9.0, "daemon-killed")]
     assert checks.find_violations(world, callers, 0.0, excuse) == []
+
+
+def test_joined_versions_and_late_requests_are_violations(tmp_path):
+    world, callers = records(tmp_path)
+    stream = clients.StreamRecord("s", ["s-1@v1", "s-2@v2"])
+    callers.streams = [stream]
+    (found,) = checks.find_violations(world, callers, 0.0)
+    assert "joins events" in found
+    stream.events = ["s-1@v1", "s-2@v1"]
+    assert checks.find_violations(world, callers, 0.0) == []
+    world.services[0].leaving_since = 1.0
+    world.services[0].runs = ["c"]
+    callers.calls = [dataclasses.replace(call(), at_s=5.0)]
+    (found,) = checks.find_violations(world, callers, 0.0)
+    assert "leaves and got" in found
