--- a/poplarloft/coordination/poison.py
+++ b/poplarloft/coordination/poison.py
@@ -135,6 +135,7 @@
         self.histories: dict[str, CrashHistory] = {}
         self.quarantined: dict[str, state.QuarantineUpdate] = {}
         self.next_ticket = 0
+        self.cached_digest: int | None = None
 
     def status_of(self, fingerprint: str) -> FingerprintStatus:
         """Return the restriction on requests of a fingerprint."""
@@ -259,6 +260,7 @@
 
     def on_update(self, update: state.GossipUpdate) -> None:
         """Apply a crash, a clearance or a quarantine."""
+        self.cached_digest = None
         match update:
             case state.CrashUpdate(fingerprint):
                 self._add_crash(update)
@@ -298,6 +300,7 @@
             Keys of their gossip updates.
         """
         dropped = []
+        self.cached_digest = None
         oldest_ms = self.clock.now_ms() - self.settings.retention_ms
         for fingerprint, history in list(self.histories.items()):
             if history.updated_at_ms < oldest_ms:
@@ -316,6 +319,11 @@
         Instances that know the same have the same digest, 0 if it is
         nothing.
         """
+        if self.cached_digest is None:
+            self.cached_digest = self._compute_digest()
+        return self.cached_digest
+
+    def _compute_digest(self) -> int:
         rows = [
             f"{fingerprint}/{upstream}#{incarnation}"
             for fingerprint, history in self.histories.items()
--- a/poplarloft/coordination/serving/stream_versions.py
+++ b/poplarloft/coordination/serving/stream_versions.py
@@ -8,7 +8,7 @@
 __all__ = ["STREAM_LIFETIME_MS", "StreamTable", "VersionHistory"]
 
 STREAM_LIFETIME_MS = 120_000  # clients have given up on older streams
-MAX_STREAMS = 200_000
+MAX_STREAMS = 100_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
