--- a/poplarloft/coordination/poison.py
+++ b/poplarloft/coordination/poison.py
@@ -11,6 +11,7 @@
 from collections import abc
 import dataclasses
 import enum
+import heapq
 
 import xxhash
 
@@ -385,11 +386,19 @@
         history = self.histories.get(fingerprint)
         if history is None:
             if len(self.histories) >= self.settings.max_fingerprints:
-                self._forget(min(self.histories, key=self._importance))
+                self._make_room()
             history = CrashHistory(updated_at_ms=self.clock.now_ms())
             self.histories[fingerprint] = history
         return history
 
+    def _make_room(self) -> None:
+        """Forget the least important tenth, so that this is seldom due."""
+        count = max(1, self.settings.max_fingerprints // 10)
+        for fingerprint in heapq.nsmallest(
+            count, self.histories, key=self._importance
+        ):
+            self._forget(fingerprint)
+
     def _importance(self, fingerprint: str) -> tuple[int, int]:
         history = self.histories[fingerprint]
         return len(history.counted()), history.updated_at_ms
