Let no probe delay the answer to a client

A request that timed out at an upstream was answered only after the probe that looks for a crash, up to 0.7 s later than its deadline. The probe runs beside it now, and a retry waits for its outcome for 0.3 s at most, within the request's time. test_a_silent_upstream_delays_no_refusal failed before.

--- a/poplarloft/daemon/serving/attempt_history.py
+++ b/poplarloft/daemon/serving/attempt_history.py
@@ -35,6 +35,8 @@
         Version at which a stream that is taken up goes on.
     refusal : state.Reason or None
         Why no upstream may get the request.
+    deadline_ms : int
+        Time on the monotonic clock at which the client gets a refusal.
     """
 
     names: list[str] = dataclasses.field(default_factory=list)
@@ -47,6 +49,7 @@
 
     software_version: str = ""
     refusal: state.Reason | None = None
+    deadline_ms: int = 0
 
     @property
     def verdict(self) -> state.Verdict:
@@ -60,6 +63,10 @@
         """Whether the request is refused for what it may have crashed."""
         return self.status in (Status.QUARANTINED, Status.ON_HOLD)
 
+    def left_ms(self, clock: state.Clock) -> int:
+        """Return the time until the deadline."""
+        return max(0, self.deadline_ms - clock.now_ms())
+
     def set_origin(self, software_version: str) -> None:
         """Set the version that began the stream, empty if unknown."""
         self.software_version = software_version
--- a/poplarloft/daemon/serving/crash_guard.py
+++ b/poplarloft/daemon/serving/crash_guard.py
@@ -173,28 +173,46 @@
             identified.flight = flight
         return flight
 
-    async def on_lost(self, sampler: state.Sampler, request_id: str) -> bool:
+    async def on_lost(
+        self, sampler: state.Sampler, request_id: str, max_wait_ms: int
+    ) -> bool:
         """Find out whether an upstream crashed under a request.
 
+        Parameters
+        ----------
+        sampler : state.Sampler
+            The upstream to which a connection was lost.
+        request_id : str
+            Identifier of the request.
+        max_wait_ms : int
+            Longest time to wait for the outcome, which may be found later.
+
         Returns
         -------
         bool
-            Whether it is known to have crashed. It may become known later.
+            Whether it is known to have crashed.
         """
         engine_id = sampler.engine_id
         if self.guard.resets.get(engine_id) == ():
             return True
         self.guard.on_reset(*engine_id)
         verdict = self.lost.on_lost(sampler)
-        if verdict is None:
-            outcome = await self.client.probe(sampler)
-            verdict = self.lost.on_probe(engine_id, outcome)
+        if verdict is not None:
+            self._conclude(verdict, request_id)
+        else:
+            probe = self.task_set.spawn(self._probe(sampler, request_id))
+            await asyncio.wait({probe}, timeout=max_wait_ms / MS_PER_S)
+        return self.guard.resets.get(engine_id) == ()
+
+    async def _probe(self, sampler: state.Sampler, request_id: str) -> None:
+        """Probe an upstream, again later if that is not conclusive."""
+        outcome = await self.client.probe(sampler)
+        verdict = self.lost.on_probe(sampler.engine_id, outcome)
         if verdict is not None:
             self._conclude(verdict, request_id)
         elif not self.is_probing and self.lost.pending:
             self.is_probing = True
             self.task_set.spawn(self._probe_pending())
-        return self.guard.resets.get(engine_id) == ()
 
     def on_completed(self, fingerprint: str) -> None:
         """Clear a suspect whose request an upstream has answered."""
@@ -219,7 +237,7 @@
                 yield piece
             self.on_completed(identified.fingerprint)
         except http_client.TruncatedResponseError:
-            await self.on_lost(flight.sampler, identified.call.id)
+            await self.on_lost(flight.sampler, identified.call.id, 0)
             raise
         finally:
             flight.end()
--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -32,6 +32,7 @@
 SERVER_ERROR = 500
 SERVICE_SHARE = 3  # a third of the time left is kept for the upstream
 MAX_BUFFERED_BYTES = 262_144  # larger responses are streamed to the client
+MAX_VERDICT_WAIT_MS = 300  # a retry waits to know whether it was a crash
 SUSPECT_WAIT_MS = 100  # until a suspect without an upstream looks again
 MS_PER_S = 1_000
 FailureKind = retries.FailureKind
@@ -113,6 +114,7 @@
     ) -> http.HttpResponse:
         started_ms = self.clock.now_ms()
         deadline_ms = started_ms + allowed_ms - RESPONSE_MARGIN_MS
+        history.deadline_ms = deadline_ms
         service = self.chooser.pick_service(route)
         if route.kind is state.RouteKind.STREAM and call.takes_up_stream:
             origin = await self.streams.origin_of(
@@ -321,8 +323,10 @@
         if failure.kind is FailureKind.CONNECT_REFUSED:
             history.uncounted += 1
         if failure.kind in LOST_KINDS:
-            has_crashed = await self.guard.on_lost(sampler, request_id)
-            history.uncounted += has_crashed
+            wait_ms = min(MAX_VERDICT_WAIT_MS, history.left_ms(self.clock))
+            history.uncounted += await self.guard.on_lost(
+                sampler, request_id, wait_ms
+            )
 
     def _refuse(
         self,
--- a/tests/test_serving_poison.py
+++ b/tests/test_serving_poison.py
@@ -259,3 +259,19 @@
     status, _, _ = await fleet.call("POST", "/once/1", MARKER)
     assert status == 502
     assert sum(len(service.crashes) for service in fleet.services) == 1
+
+
+async def test_a_silent_upstream_delays_no_refusal(fleet):
+    for service in fleet.services:
+        service.silent = True
+    entry = fleet.entries[0]
+
+    async def probe(sampler):
+        await asyncio.sleep(5)
+
+    entry.guard.client.probe = probe
+    headers = (("x-request-id", "late"), ("x-deadline-ms", "600"))
+    started_s = time.monotonic()
+    status, _, _ = await fleet.call("POST", "/p/1", b"", headers, entry)
+    assert status == 504
+    assert time.monotonic() - started_s < 0.8
