Do not prefer upstreams that refuse connections

Whether the test passed depended on which was tried first.

Fix: only attempts that got a response count as one. Refused connections to an upstream tried before use up attempts again. test_an_upstream_that_refuses_connections_is_no_favourite failed before.

--- a/poplarloft/daemon/serving/forwarding.py
+++ b/poplarloft/daemon/serving/forwarding.py
@@ -195,6 +195,7 @@
         flight = self.guard.begin(identified, sampler)
         history.is_sent = True
         response: http.HttpResponse | None = None
+        is_answered = False
         try:
             sent = await self.client.forward(
                 sampler,
@@ -207,6 +208,7 @@
             )
             match sent:
                 case result.Success(answer):
+                    is_answered = True
                     response = await self._response_from(
                         identified, route, sampler, answer, history
                     )
@@ -221,7 +223,7 @@
                 flight.end()
             self.balancer.on_end(sampler)
             duration_ms = self.clock.now_ms() - started_ms
-            if not history.may_have_run:
+            if is_answered and not history.may_have_run:
                 self.balancer.on_answer(sampler, duration_ms)
 
     def _watched(
@@ -320,7 +322,8 @@
             detail=failure.detail[:200],
             verdict=verdict.value,
         )
-        if failure.kind is FailureKind.CONNECT_REFUSED:
+        is_first = history.names.count(sampler.name) == 1
+        if failure.kind is FailureKind.CONNECT_REFUSED and is_first:
             history.uncounted += 1
         if failure.kind in LOST_KINDS:
             wait_ms = min(MAX_VERDICT_WAIT_MS, history.left_ms(self.clock))
--- a/tests/test_serving_requests.py
+++ b/tests/test_serving_requests.py
@@ -182,3 +182,17 @@
     headers = (("x-request-id", "r1"), ("x-note", "caf\xe9"))
     status, _, _ = await fleet.call("POST", "/p/1", b"body", headers)
     assert status == 200
+
+
+async def test_an_upstream_that_refuses_connections_is_no_favourite(fleet):
+    await fleet.services[0].stop()
+    for _ in range(10):
+        assert (await fleet.call("POST", "/p/1", b""))[0] == 200
+    entry = fleet.entries[0]
+    (dead,) = [
+        sampler
+        for sampler in entry.samplers.registry.of_service("app")
+        if sampler.name == fleet.services[0].name
+    ]
+    load = entry.forwarder.balancer.load_of(dead)
+    assert load.response_ms is None
