Split the serving packages by subject

daemon/serving had 40 modules in one room and coordination/serving 21. They become packages: requests, streams, rollouts, leadership, fleet (daemon only) and store, with the tests beside them. Moves and imports only; names that other parts import stay re-exported at coordination.serving.

--- a/poplarloft/coordination/serving/tests/test_failover.py
+++ b/poplarloft/coordination/serving/leadership/tests/test_failover.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import standby
+from poplarloft.daemon.serving.leadership import standby
 from poplarloft import state
 
 ADDRESS = state.Address("127.0.0.1", 1)
--- a/poplarloft/coordination/serving/tests/test_order_lock.py
+++ b/poplarloft/coordination/serving/leadership/tests/test_order_lock.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from poplarloft.coordination.serving import order_lock
+from poplarloft.coordination.serving.leadership import order_lock
 from poplarloft import state
 
 NAMES = ("a", "b", "c")
--- a/poplarloft/coordination/serving/limit_table.py
+++ b/poplarloft/coordination/serving/requests/limit_table.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from poplarloft.coordination.serving import engine_view
+from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft import state
 
 __all__ = ["KnownLimit", "LimitTable"]
--- a/poplarloft/coordination/serving/lost_runs.py
+++ b/poplarloft/coordination/serving/requests/lost_runs.py
@@ -10,8 +10,8 @@
 import dataclasses
 import enum
 
-from poplarloft.coordination.serving import engine_view
-from poplarloft.coordination.serving import registry
+from poplarloft.coordination.serving.requests import registry
+from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft import state
 
 __all__ = ["LostRuns", "RunVerdict", "VerdictKind"]
--- a/poplarloft/coordination/serving/permits.py
+++ b/poplarloft/coordination/serving/requests/permits.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from poplarloft.coordination.serving import engine_view
+from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft import state
 
 __all__ = [
--- a/poplarloft/coordination/serving/tests/test_item_services.py
+++ b/poplarloft/coordination/serving/requests/tests/test_item_services.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import lot_plan
-from poplarloft.coordination.serving import outputs
+from poplarloft.coordination.serving.rollouts import lot_plan
+from poplarloft.coordination.serving.rollouts import outputs
 from poplarloft import state
 
 SERVICES = ("a", "b", "c")
--- a/poplarloft/coordination/serving/tests/test_lost_runs.py
+++ b/poplarloft/coordination/serving/requests/tests/test_lost_runs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import lost_runs
+from poplarloft.coordination.serving.requests import lost_runs
 from poplarloft import state
 
 SAMPLER = state.Sampler("s", 5, "app", state.Address("h", 1), "z", 4)
--- a/poplarloft/coordination/serving/tests/test_service_shares.py
+++ b/poplarloft/coordination/serving/requests/tests/test_service_shares.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import service_shares
+from poplarloft.coordination.serving.requests import service_shares
 from poplarloft import state
 
 
--- /dev/null
+++ b/poplarloft/coordination/serving/rollouts/__init__.py
@@ -0,0 +1,47 @@
+"""Decisions on lots: items, engines, weights, results, checkpoints."""
+
+from poplarloft.coordination.serving.rollouts.checkpoints import (
+    CheckpointCollector,
+)
+from poplarloft.coordination.serving.rollouts.checkpoints import CheckpointPlan
+from poplarloft.coordination.serving.rollouts.checkpoints import (
+    split_increments,
+)
+from poplarloft.coordination.serving.rollouts.engine_view import EngineId
+from poplarloft.coordination.serving.rollouts.engine_view import EngineView
+from poplarloft.coordination.serving.rollouts.lot_plan import LotPlan
+from poplarloft.coordination.serving.rollouts.outputs import EventOrderError
+from poplarloft.coordination.serving.rollouts.outputs import ItemOutput
+from poplarloft.coordination.serving.rollouts.outputs import (
+    OutputTooLargeError,
+)
+from poplarloft.coordination.serving.rollouts.outputs import Stage
+from poplarloft.coordination.serving.rollouts.planning import Planner
+from poplarloft.coordination.serving.rollouts.planning import StartItem
+from poplarloft.coordination.serving.rollouts.result_log import ReadBatch
+from poplarloft.coordination.serving.rollouts.result_log import ResultLog
+from poplarloft.coordination.serving.rollouts.result_log import WriteBatch
+from poplarloft.coordination.serving.rollouts.weight_loading import LoadVersion
+from poplarloft.coordination.serving.rollouts.weight_loading import (
+    WeightLoadPlanner,
+)
+
+__all__ = [
+    "CheckpointCollector",
+    "CheckpointPlan",
+    "EngineId",
+    "EngineView",
+    "EventOrderError",
+    "ItemOutput",
+    "LoadVersion",
+    "LotPlan",
+    "OutputTooLargeError",
+    "Planner",
+    "ReadBatch",
+    "ResultLog",
+    "Stage",
+    "StartItem",
+    "WeightLoadPlanner",
+    "WriteBatch",
+    "split_increments",
+]
--- a/poplarloft/coordination/serving/checkpoints.py
+++ b/poplarloft/coordination/serving/rollouts/checkpoints.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from poplarloft.coordination.serving import outputs
+from poplarloft.coordination.serving.rollouts import outputs
 from poplarloft import state
 
 __all__ = [
--- a/poplarloft/coordination/serving/lot_plan.py
+++ b/poplarloft/coordination/serving/rollouts/lot_plan.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from poplarloft.coordination.serving import outputs
-from poplarloft.coordination.serving import service_shares
+from poplarloft.coordination.serving.requests import service_shares
+from poplarloft.coordination.serving.rollouts import outputs
 from poplarloft import state
 
 __all__ = ["LotPlan"]
--- a/poplarloft/coordination/serving/planning.py
+++ b/poplarloft/coordination/serving/rollouts/planning.py
@@ -4,10 +4,10 @@
 import dataclasses
 import itertools
 
-from poplarloft.coordination.serving import checkpoints
-from poplarloft.coordination.serving import engine_view
-from poplarloft.coordination.serving import lot_plan
-from poplarloft.coordination.serving import outputs
+from poplarloft.coordination.serving.rollouts import checkpoints
+from poplarloft.coordination.serving.rollouts import engine_view
+from poplarloft.coordination.serving.rollouts import lot_plan
+from poplarloft.coordination.serving.rollouts import outputs
 from poplarloft import state
 
 __all__ = ["Planner", "StartItem"]
--- a/poplarloft/coordination/serving/tests/test_result_log.py
+++ b/poplarloft/coordination/serving/rollouts/tests/test_result_log.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import result_log
+from poplarloft.coordination.serving.rollouts import result_log
 from poplarloft import state
 
 
--- a/poplarloft/coordination/serving/weight_loading.py
+++ b/poplarloft/coordination/serving/rollouts/weight_loading.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 
-from poplarloft.coordination.serving import engine_view
+from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft import state
 
 __all__ = ["LoadVersion", "WeightLoadPlanner"]
--- a/poplarloft/coordination/serving/tests/test_feeds.py
+++ b/poplarloft/coordination/serving/store/tests/test_feeds.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import feed_link
-from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft import state
 
 BOUND_MS = 2_000
--- a/poplarloft/coordination/serving/stream_reports.py
+++ b/poplarloft/coordination/serving/streams/stream_reports.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 
-from poplarloft.coordination.serving import stream_versions
+from poplarloft.coordination.serving.streams import stream_versions
 from poplarloft import state
 
 __all__ = ["REPORT_DELAY_MS", "DueReport", "StreamReports"]
--- a/poplarloft/coordination/serving/tests/test_stream_reports.py
+++ b/poplarloft/coordination/serving/streams/tests/test_stream_reports.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import stream_reports
+from poplarloft.coordination.serving.streams import stream_reports
 from poplarloft import state
 
 
--- a/poplarloft/coordination/serving/tests/test_stream_versions.py
+++ b/poplarloft/coordination/serving/streams/tests/test_stream_versions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import stream_versions
+from poplarloft.coordination.serving.streams import stream_versions
 from poplarloft import state
 
 LIFETIME_MS = stream_versions.STREAM_LIFETIME_MS
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -3,14 +3,14 @@
 import random
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import leaving_link
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import response_notes
-from poplarloft.daemon.serving import store_relay
-from poplarloft.daemon.serving import stream_link
-from poplarloft.daemon.serving import stream_origins
-from poplarloft.daemon.serving import upstream_limits
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving.fleet import leaving_link
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.fleet import response_notes
+from poplarloft.daemon.serving.fleet import upstream_limits
+from poplarloft.daemon.serving.store import store_relay
+from poplarloft.daemon.serving.store import view
+from poplarloft.daemon.serving.streams import stream_link
+from poplarloft.daemon.serving.streams import stream_origins
 from poplarloft.daemon import tasks
 from poplarloft.platform import samplers
 from poplarloft.protocol import addresses
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -6,11 +6,11 @@
 
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import base
-from poplarloft.daemon.serving import feed_link
-from poplarloft.daemon.serving import leader_election
-from poplarloft.daemon.serving import lot_scheduler
-from poplarloft.daemon.serving import standby
-from poplarloft.daemon.serving import store_views
+from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.leadership import leader_election
+from poplarloft.daemon.serving.leadership import standby
+from poplarloft.daemon.serving.rollouts import lot_scheduler
+from poplarloft.daemon.serving.store import store_views
 from poplarloft.platform import documents
 from poplarloft.platform import names
 from poplarloft.protocol import addresses
--- /dev/null
+++ b/poplarloft/daemon/serving/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons: changes, limits, permits, leaving upstreams."""
--- a/poplarloft/daemon/serving/feed_link.py
+++ b/poplarloft/daemon/serving/fleet/feed_link.py
@@ -7,7 +7,7 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft.daemon import tasks
 from poplarloft import state
 
--- a/poplarloft/daemon/serving/leaving_link.py
+++ b/poplarloft/daemon/serving/fleet/leaving_link.py
@@ -3,9 +3,9 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import permit_link
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.fleet import permit_link
+from poplarloft.daemon.serving.store import view
 from poplarloft import state
 
 __all__ = ["LeavingLink"]
--- a/poplarloft/daemon/serving/permit_link.py
+++ b/poplarloft/daemon/serving/fleet/permit_link.py
@@ -7,7 +7,7 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft import state
 
 __all__ = ["Members", "PermitLink"]
--- a/poplarloft/daemon/serving/response_notes.py
+++ b/poplarloft/daemon/serving/fleet/response_notes.py
@@ -1,7 +1,7 @@
 """Passes on what the responses of upstreams say of these."""
 
-from poplarloft.daemon.serving import leaving_link
-from poplarloft.daemon.serving import upstream_limits
+from poplarloft.daemon.serving.fleet import leaving_link
+from poplarloft.daemon.serving.fleet import upstream_limits
 from poplarloft import state
 
 __all__ = ["ResponseNotes"]
--- a/poplarloft/daemon/serving/tests/test_upstream_limits.py
+++ b/poplarloft/daemon/serving/fleet/tests/test_upstream_limits.py
@@ -7,8 +7,8 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import upstream_limits
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.fleet import upstream_limits
 from poplarloft import state
 
 ADDRESS = state.Address("127.0.0.1", 1)
--- a/poplarloft/daemon/serving/upstream_limits.py
+++ b/poplarloft/daemon/serving/fleet/upstream_limits.py
@@ -8,8 +8,8 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import permit_link
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.fleet import permit_link
 from poplarloft import state
 
 __all__ = ["UpstreamLimits"]
--- /dev/null
+++ b/poplarloft/daemon/serving/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""The leader of a cell, its standbys, and its right to send orders."""
--- a/poplarloft/daemon/serving/leader_election.py
+++ b/poplarloft/daemon/serving/leadership/leader_election.py
@@ -8,9 +8,9 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import leader_key
-from poplarloft.daemon.serving import order_lock
-from poplarloft.daemon.serving import standby
+from poplarloft.daemon.serving.leadership import leader_key
+from poplarloft.daemon.serving.leadership import order_lock
+from poplarloft.daemon.serving.leadership import standby
 from poplarloft.daemon import tasks
 from poplarloft.protocol import errors
 from poplarloft.protocol import serving_messages
--- a/poplarloft/daemon/serving/standby.py
+++ b/poplarloft/daemon/serving/leadership/standby.py
@@ -6,7 +6,7 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft import state
 
 __all__ = ["StandbyLink"]
--- /dev/null
+++ b/poplarloft/daemon/serving/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Single requests of clients: forwarding, retries, crashes of upstreams."""
--- a/poplarloft/daemon/serving/crash_guard.py
+++ b/poplarloft/daemon/serving/requests/crash_guard.py
@@ -9,7 +9,7 @@
 from poplarloft import coordination
 from poplarloft.coordination import serving
 from poplarloft.daemon import quarantines
-from poplarloft.daemon.serving import crash_news
+from poplarloft.daemon.serving.requests import crash_news
 from poplarloft.daemon import tasks
 from poplarloft.platform import ingress
 from poplarloft.platform import samplers
--- a/poplarloft/daemon/serving/crash_news.py
+++ b/poplarloft/daemon/serving/requests/crash_news.py
@@ -14,8 +14,8 @@
 from returns import result
 
 from poplarloft import coordination
-from poplarloft.daemon.serving import feed_link
-from poplarloft.daemon.serving import peer_link
+from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft.daemon import tasks
 from poplarloft.platform import store as platform_store
 from poplarloft.protocol import errors
--- a/poplarloft/daemon/serving/upstream_choice.py
+++ b/poplarloft/daemon/serving/requests/upstream_choice.py
@@ -6,9 +6,9 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import attempt_history
-from poplarloft.daemon.serving import crash_guard
-from poplarloft.daemon.serving import upstream_limits
+from poplarloft.daemon.serving.fleet import upstream_limits
+from poplarloft.daemon.serving.requests import attempt_history
+from poplarloft.daemon.serving.requests import crash_guard
 from poplarloft.platform import samplers
 from poplarloft import state
 
--- /dev/null
+++ b/poplarloft/daemon/serving/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Lots of samples: accepted, generated, scored, recorded and read."""
--- a/poplarloft/daemon/serving/generation.py
+++ b/poplarloft/daemon/serving/rollouts/generation.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import upstream_limits
+from poplarloft.daemon.serving.fleet import upstream_limits
 from poplarloft.daemon import tasks
 from poplarloft.platform import event_stream
 from poplarloft.platform import samplers
--- a/poplarloft/daemon/serving/lot_scheduler.py
+++ b/poplarloft/daemon/serving/rollouts/lot_scheduler.py
@@ -6,15 +6,15 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import checkpoint_store
-from poplarloft.daemon.serving import garbage_collection
-from poplarloft.daemon.serving import generation
-from poplarloft.daemon.serving import result_writer
-from poplarloft.daemon.serving import rewards
-from poplarloft.daemon.serving import scoring
-from poplarloft.daemon.serving import store_views
-from poplarloft.daemon.serving import upstream_limits
-from poplarloft.daemon.serving import weights
+from poplarloft.daemon.serving.fleet import upstream_limits
+from poplarloft.daemon.serving.rollouts import checkpoint_store
+from poplarloft.daemon.serving.rollouts import garbage_collection
+from poplarloft.daemon.serving.rollouts import generation
+from poplarloft.daemon.serving.rollouts import result_writer
+from poplarloft.daemon.serving.rollouts import rewards
+from poplarloft.daemon.serving.rollouts import scoring
+from poplarloft.daemon.serving.rollouts import weights
+from poplarloft.daemon.serving.store import store_views
 from poplarloft.daemon import tasks
 from poplarloft.platform import samplers
 from poplarloft import state
--- a/poplarloft/daemon/serving/rewards.py
+++ b/poplarloft/daemon/serving/rollouts/rewards.py
@@ -6,8 +6,8 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import upstream_limits
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving.fleet import upstream_limits
+from poplarloft.daemon.serving.store import view
 from poplarloft.platform import samplers
 from poplarloft import state
 from poplarloft.transport import http_client
--- a/poplarloft/daemon/serving/scoring.py
+++ b/poplarloft/daemon/serving/rollouts/scoring.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import rewards
+from poplarloft.daemon.serving.rollouts import rewards
 from poplarloft.daemon import tasks
 
 __all__ = ["ScoringTasks"]
--- a/poplarloft/daemon/serving/tests/test_generation.py
+++ b/poplarloft/daemon/serving/rollouts/tests/test_generation.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import generation
+from poplarloft.daemon.serving.rollouts import generation
 from poplarloft.daemon import tasks
 from poplarloft import state
 
--- a/poplarloft/daemon/serving/tests/test_rewards.py
+++ b/poplarloft/daemon/serving/rollouts/tests/test_rewards.py
@@ -7,10 +7,10 @@
 import pytest
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import rewards
-from poplarloft.daemon.serving import upstream_limits
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.fleet import upstream_limits
+from poplarloft.daemon.serving.rollouts import rewards
+from poplarloft.daemon.serving.store import view
 from poplarloft import state
 
 ADDRESS = state.Address("127.0.0.1", 1)
--- /dev/null
+++ b/poplarloft/daemon/serving/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's store: access, relayed calls and local views."""
--- a/poplarloft/daemon/serving/lots_view.py
+++ b/poplarloft/daemon/serving/store/lots_view.py
@@ -6,8 +6,8 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import feed_link
-from poplarloft.daemon.serving import prefix_watcher
+from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.store import prefix_watcher
 from poplarloft.daemon import tasks
 from poplarloft.protocol import errors
 from poplarloft.protocol import lot_records
--- a/poplarloft/daemon/serving/prefix_watcher.py
+++ b/poplarloft/daemon/serving/store/prefix_watcher.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import feed_link
+from poplarloft.daemon.serving.fleet import feed_link
 from poplarloft import state
 
 __all__ = ["PrefixListener", "PrefixWatcher"]
--- a/poplarloft/daemon/serving/store_relay.py
+++ b/poplarloft/daemon/serving/store/store_relay.py
@@ -9,7 +9,7 @@
 
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import feed_link
+from poplarloft.daemon.serving.fleet import feed_link
 from poplarloft.daemon import tasks
 from poplarloft.platform import store as platform_store
 from poplarloft.protocol import errors
--- a/poplarloft/daemon/serving/store_views.py
+++ b/poplarloft/daemon/serving/store/store_views.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from poplarloft.daemon.serving import feed_link
-from poplarloft.daemon.serving import lots_view
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.store import lots_view
+from poplarloft.daemon.serving.store import view
 from poplarloft.daemon import tasks
 from poplarloft.platform import names
 from poplarloft import state
--- a/poplarloft/daemon/serving/view.py
+++ b/poplarloft/daemon/serving/store/view.py
@@ -7,8 +7,8 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import feed_link
-from poplarloft.daemon.serving import prefix_watcher
+from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.store import prefix_watcher
 from poplarloft.daemon import tasks
 from poplarloft.platform import documents
 from poplarloft.platform import names
--- /dev/null
+++ b/poplarloft/daemon/serving/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which software versions began the streams of clients."""
--- a/poplarloft/daemon/serving/stream_link.py
+++ b/poplarloft/daemon/serving/streams/stream_link.py
@@ -4,8 +4,8 @@
 
 from poplarloft.coordination import routing
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import stream_log
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.streams import stream_log
 from poplarloft.daemon import tasks
 from poplarloft import state
 
--- a/poplarloft/daemon/serving/stream_log.py
+++ b/poplarloft/daemon/serving/streams/stream_log.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import shared_read
+from poplarloft.daemon.serving.store import shared_read
 from poplarloft.protocol import errors
 from poplarloft.protocol import stream_records
 from poplarloft import state
--- a/poplarloft/daemon/serving/stream_origins.py
+++ b/poplarloft/daemon/serving/streams/stream_origins.py
@@ -9,9 +9,9 @@
 import eliot
 
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving import shared_read
-from poplarloft.daemon.serving import stream_link
-from poplarloft.daemon.serving import view
+from poplarloft.daemon.serving.store import shared_read
+from poplarloft.daemon.serving.store import view
+from poplarloft.daemon.serving.streams import stream_link
 from poplarloft.daemon import tasks
 from poplarloft import state
 
--- a/tests/serving_streams.py
+++ b/tests/serving_streams.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from poplarloft.daemon.serving import store_relay
+from poplarloft.daemon.serving.store import store_relay
 from poplarloft import state
 from poplarloft.transport import http_client
 from tests import serving_fleet
--- a/tests/test_serving_hints.py
+++ b/tests/test_serving_hints.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from poplarloft.daemon.serving import lots_view
+from poplarloft.daemon.serving.store import lots_view
 from poplarloft import state
 from tests import serving_fleet
 
--- a/tests/test_serving_leaving.py
+++ b/tests/test_serving_leaving.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from poplarloft.daemon.serving import store_relay
+from poplarloft.daemon.serving.store import store_relay
 from tests import serving_fleet
 
 LEAVING = (("Server-Leaving", "1"),)
--- a/tests/test_serving_limits.py
+++ b/tests/test_serving_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from poplarloft.daemon.serving import store_relay
+from poplarloft.daemon.serving.store import store_relay
 from tests import serving_fleet
 
 LIMIT_PER_S = 1.5
--- a/tests/test_serving_orders.py
+++ b/tests/test_serving_orders.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from poplarloft.coordination.serving import order_lock
+from poplarloft.coordination.serving.leadership import order_lock
 from tests import serving_fleet
 
 TURN_MS = 1_000
--- a/tests/test_serving_out_of_step.py
+++ b/tests/test_serving_out_of_step.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarloft.coordination import serving
-from poplarloft.coordination.serving import stream_versions
+from poplarloft.coordination.serving.streams import stream_versions
 from tests import serving_streams
 
 LIFETIME_MS = 2_000
--- a/tests/test_serving_poison.py
+++ b/tests/test_serving_poison.py
@@ -9,8 +9,8 @@
 import pytest
 
 from poplarloft import coordination
-from poplarloft.daemon.serving import peer_link
-from poplarloft.daemon.serving import store_relay
+from poplarloft.daemon.serving.fleet import peer_link
+from poplarloft.daemon.serving.store import store_relay
 from tests import serving_fleet
 
 MARKER = b"poison"
--- a/tests/test_serving_versions.py
+++ b/tests/test_serving_versions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from poplarloft.coordination.serving import stream_versions
+from poplarloft.coordination.serving.streams import stream_versions
 from tests import serving_fleet
 from tests import serving_streams
 
