Admit requests by the API keys of client accounts

Cause: where the configuration has accounts, keys were passed on to upstreams, no account was named, and withdrawn keys went on working.

A request's key is looked up by its digest; upstreams get the account's name, set here, and never the key. A known key is admitted; an unknown one is refused only once the store has confirmed the configuration, and answered as not run before. The account's priority goes before the route's. Instances hold and exchange digests only: the configuration is sealed as it comes from the store, also in calls that are relayed for peers.

Decisions are tested without a network, the whole path on stand-ins, including a search for keys in logs, metrics, messages and entries.

--- /dev/null
+++ b/poplarloft/daemon/serving/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: admits requests by their API keys."""
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -6,7 +6,9 @@
 from returns import result
 
 from poplarloft import coordination
+from poplarloft.coordination import accounts
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving.accounts import account_gate
 from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving.fleet import feed_link
 from poplarloft.daemon.serving.requests import crash_guard
@@ -81,6 +83,14 @@
             int(settings.lot_kept_s * MS_PER_S),
             self.notify_leader,
         )
+        self.gate = account_gate.AccountGate(
+            self.clock,
+            self.operator,
+            self.store,
+            accounts.RevocationRules(
+                settings.revocation_bound_ms, settings.revokes_strictly
+            ),
+        )
         self.leader_location = serving.LeaderLocation(self.clock)
         self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
@@ -224,7 +234,11 @@
     async def _handle(self, request: http.HttpRequest) -> http.HttpResponse:
         lot_call = ingress.parse_lot_call(request)
         if lot_call is not None:
-            return await self._handle_lot_call(lot_call)
+            match await self.gate.admit(request, is_public=False):
+                case result.Success(caller):
+                    return await self._handle_lot_call(lot_call, caller)
+                case result.Failure(refusal):
+                    return ingress.refusal_response(refusal)
         configuration = self.operator.configuration
         if configuration is None:
             return self._refuse(
@@ -239,41 +253,61 @@
                 f"no route for {host}{request.path[:100]} in configuration "
                 f"{configuration.version}",
             )
+        match await self.gate.admit(request, route.is_public):
+            case result.Success(caller):
+                return await self._serve(request, route, caller)
+            case result.Failure(refusal):
+                return ingress.refusal_response(refusal)
+        raise AssertionError(route)
+
+    async def _serve(
+        self,
+        request: http.HttpRequest,
+        route: state.PathRoute,
+        caller: state.Caller | None,
+    ) -> http.HttpResponse:
+        """Answer a request of an admitted caller to a route."""
         if route.kind is state.RouteKind.LOTS:
-            return await self._accept_lot(request, host)
+            return await self._accept_lot(request, caller)
         if not self.guard.news.is_read.is_set():
             return self._refuse(
                 request, state.Reason.NOT_READY, "crash news not read yet"
             )
-        call = ingress.forwarded_call(request)
+        configuration = self.operator.configuration
+        if caller is not None and configuration is not None:
+            route = configuration.route_for(caller.account, route)
+        call = ingress.forwarded_call(request, caller)
         return await self.forwarder.handle(call, route)
 
     async def _accept_lot(
-        self, request: http.HttpRequest, host: str
+        self, request: http.HttpRequest, caller: state.Caller | None
     ) -> http.HttpResponse:
         lot_id = lot_records.check_lot_id(ingress.request_id(request))
-        lot = lots.decode_lot(lot_id, host, request.path, request.body)
+        host = ingress.request_host(request)
+        lot = lots.decode_lot(lot_id, host, request.path, request.body, caller)
         refusal = await self.lot_service.accept(lot)
         if refusal is not None:
             return ingress.refusal_response(refusal)
         return ingress.plain_response(202)
 
     async def _handle_lot_call(
-        self, call: ingress.ReadLot | ingress.ReadItem | ingress.EndLot
+        self,
+        call: ingress.ReadLot | ingress.ReadItem | ingress.EndLot,
+        caller: state.Caller | None,
     ) -> http.HttpResponse:
         lot_records.check_lot_id(call.lot_id)
         match call:
             case ingress.ReadLot():
                 return ingress.results_response(
-                    await self.lot_service.read(call)
+                    await self.lot_service.read(call, caller)
                 )
             case ingress.EndLot(lot_id):
-                refusal = await self.lot_service.end(lot_id)
+                refusal = await self.lot_service.end(lot_id, caller)
                 if refusal is not None:
                     return ingress.refusal_response(refusal)
                 return ingress.plain_response(200)
             case ingress.ReadItem():
-                match await self.lot_service.item_body(call):
+                match await self.lot_service.item_body(call, caller):
                     case result.Success(body):
                         return ingress.plain_response(200, body)
                     case result.Failure(failure):
--- a/poplarloft/daemon/serving/rollouts/generation.py
+++ b/poplarloft/daemon/serving/rollouts/generation.py
@@ -223,7 +223,7 @@
         )
         sent = await self.client.start_item(
             run.view.sampler,
-            plan.lot.host,
+            plan.lot,
             output.item,
             max(1, left_ms),
             len(output.events),
--- a/poplarloft/daemon/serving/rollouts/lot_service.py
+++ b/poplarloft/daemon/serving/rollouts/lot_service.py
@@ -29,30 +29,25 @@
 class _CachedLot:
     """The part of a lot's results that this instance has read."""
 
-    total: int = 0
+    head: state.LotHead | None = None
     results: list[state.LotResult] = dataclasses.field(default_factory=list)
     last_key: str = ""
     revision: int = 0
     record: state.LotRecord | None = None
     used_at_ms: int = 0
 
-    @property
-    def is_known(self) -> bool:
-        """Whether the store has confirmed that the lot exists."""
-        return bool(self.last_key)
-
     @property
     def is_complete(self) -> bool:
         """Whether the results of all items have been read."""
-        return self.is_known and len(self.results) >= self.total
+        return self.head is not None and (len(self.results) >= self.head.total)
 
     def add_entries(self, entries: abc.Iterable[state.Entry]) -> None:
         """Append entries that follow those already read."""
         for entry in entries:
             if entry.key <= self.last_key:
                 continue
-            if not self.last_key:
-                self.total = lot_records.decode_head(entry.value)
+            if self.head is None:
+                self.head = lot_records.decode_head(entry.value)
             else:
                 self.results += lot_records.decode_batch(entry.value)
             self.last_key = entry.key
@@ -98,7 +93,7 @@
             ),
             state.Put(
                 lot_records.head_key(lot.id),
-                lot_records.encode_head(len(lot.items)),
+                lot_records.encode_head(record.head),
             ),
         ]
         answer = await self._create_keys(puts)
@@ -107,6 +102,7 @@
             request=lot.id,
             step=lot.step,
             items=len(lot.items),
+            account=lot.account,
             outcome=answer.status.value,
             revision=answer.revision,
             detail=answer.detail,
@@ -126,8 +122,13 @@
             f"{answer.detail}",
         )
 
-    async def read(self, call: ingress.ReadLot) -> state.ResultPage:
-        """Return the results from a position on, waiting for the next one."""
+    async def read(
+        self, call: ingress.ReadLot, caller: state.Caller | None = None
+    ) -> state.ResultPage:
+        """Return the results from a position on, waiting for the next one.
+
+        To a caller of another account, a lot does not exist.
+        """
         self._evict_unused()
         cached = self.cached_lots.setdefault(call.lot_id, _CachedLot())
         cached.used_at_ms = self.clock.now_ms()
@@ -149,20 +150,23 @@
                         f"{failure.detail}"
                     )
                 )
-        if not cached.is_known:
+        if cached.head is None:
             self.cached_lots.pop(call.lot_id, None)
             return _refused_page(_unknown_refusal(f"no lot {call.lot_id!r}"))
-        return _page(cached, call.position)
+        if not cached.head.is_readable_by(caller):
+            return _refused_page(_unknown_refusal(f"no lot {call.lot_id!r}"))
+        return _page(cached, cached.head.total, call.position)
 
     async def item_body(
-        self, call: ingress.ReadItem
+        self, call: ingress.ReadItem, caller: state.Caller | None = None
     ) -> result.Result[bytes, state.Refusal]:
         """Return the request body of an item."""
         record = await self._record(call.lot_id)
         match record:
             case result.Success(state.LotRecord() as found):
                 item = found.lot.find_item(call.item_id)
-                if item is not None:
+                may_read = found.head.is_readable_by(caller)
+                if item is not None and may_read:
                     return result.Success(item.body)
                 return result.Failure(
                     _unknown_refusal(
@@ -173,11 +177,19 @@
                 return result.Failure(refusal)
         raise AssertionError(record)
 
-    async def end(self, lot_id: str) -> state.Refusal | None:
+    async def end(
+        self, lot_id: str, caller: state.Caller | None = None
+    ) -> state.Refusal | None:
         """End a lot; return None once the store has acknowledged it."""
+        refusal = None
+        if caller is not None:
+            # A lot of another account must not be ended.
+            refusal = await self._check_exists(lot_id, caller)
+        if refusal is not None:
+            return refusal
         # Both run at once: ending a lot that does not exist has no effect.
         refusal, answer = await asyncio.gather(
-            self._check_exists(lot_id), self._write_end(lot_id)
+            self._check_exists(lot_id, caller), self._write_end(lot_id)
         )
         if refusal is not None:
             return refusal
@@ -196,14 +208,24 @@
             f"{answer.status.value} {answer.detail}"
         )
 
-    async def _check_exists(self, lot_id: str) -> state.Refusal | None:
+    async def _check_exists(
+        self, lot_id: str, caller: state.Caller | None
+    ) -> state.Refusal | None:
+        """Return why a caller may not end a lot, None if it may."""
+        unknown = _unknown_refusal(f"no lot {lot_id!r}")
         cached = self.cached_lots.get(lot_id)
-        if cached is not None and cached.is_known:
-            return None
+        if cached is not None and cached.head is not None:
+            return None if cached.head.is_readable_by(caller) else unknown
         found = await self.store.get(lot_records.head_key(lot_id))
         match found:
             case result.Success(None):
-                return _unknown_refusal(f"no lot {lot_id!r}")
+                return unknown
+            case result.Success(state.Entry() as entry):
+                cached = self.cached_lots.setdefault(lot_id, _CachedLot())
+                cached.used_at_ms = self.clock.now_ms()
+                cached.add_entries([entry])
+                if cached.head and not cached.head.is_readable_by(caller):
+                    return unknown
             case result.Failure(failure):
                 return _not_ready_refusal(
                     f"cannot read whether lot {lot_id!r} exists: "
@@ -323,7 +345,7 @@
             del self.cached_lots[lot_id]
 
 
-def _page(cached: _CachedLot, position: int) -> state.ResultPage:
+def _page(cached: _CachedLot, total: int, position: int) -> state.ResultPage:
     found: list[state.LotResult] = []
     size = 0
     for row in cached.results[position:]:
@@ -331,7 +353,7 @@
         if found and size > MAX_PAGE_BYTES:
             break
         found.append(row)
-    return state.ResultPage(cached.total, position + len(found), tuple(found))
+    return state.ResultPage(total, position + len(found), tuple(found))
 
 
 def _refused_page(refusal: state.Refusal) -> state.ResultPage:
--- a/poplarloft/daemon/serving/store/prefix_watcher.py
+++ b/poplarloft/daemon/serving/store/prefix_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 import random
 import typing
 
@@ -38,6 +39,10 @@
         """Handle that the store answers again."""
 
 
+def _as_it_is(entry: state.Entry) -> state.Entry:
+    return entry
+
+
 class PrefixWatcher:
     """Lists a prefix once, then watches it; lists again after a gap.
 
@@ -59,6 +64,9 @@
         responses.
     feed : feed_link.FeedLink or None
         Updates from other daemons.
+    seal : callable
+        Returns an entry without its secrets, which neither this instance
+        nor its peers need.
     """
 
     def __init__(
@@ -69,9 +77,11 @@
         listener: PrefixListener,
         pause_ms: int = 0,
         feed: feed_link.FeedLink | None = None,
+        seal: abc.Callable[[state.Entry], state.Entry] = _as_it_is,
     ) -> None:
         self.clock = clock
         self.store = store
+        self.seal = seal
         self.prefix = prefix
         self.listener = listener
         self.pause_ms = pause_ms
@@ -96,7 +106,7 @@
             page = await self.store.list_page(self.prefix, after)
             match page:
                 case result.Success(state.Page() as found):
-                    entries += found.entries
+                    entries += map(self.seal, found.entries)
                     revision = revision or found.revision
                     if found.has_more and found.entries:
                         after = found.entries[-1].key
@@ -165,7 +175,8 @@
             case result.Success(state.Changes() as found):
                 self._on_success()
                 seen = found.seen_revision(self.history.revision)
-                for change in self.history.apply_changes(found.changes, seen):
+                changes = map(self._sealed, found.changes)
+                for change in self.history.apply_changes(changes, seen):
                     self.listener.on_change(change)
                 now_ms = self.clock.now_ms()
                 self.history.confirm(
@@ -179,6 +190,11 @@
         # A failed watch may have missed changes.
         return False
 
+    def _sealed(self, change: state.Change) -> state.Change:
+        if change.entry is None:
+            return change
+        return dataclasses.replace(change, entry=self.seal(change.entry))
+
     def _watch_timing(self) -> tuple[int, int]:
         """Return the time-out of a watch, and the pause after it.
 
--- a/poplarloft/daemon/serving/store/store_relay.py
+++ b/poplarloft/daemon/serving/store/store_relay.py
@@ -11,6 +11,7 @@
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving.fleet import feed_link
 from poplarloft.daemon import tasks
+from poplarloft.platform import sealing
 from poplarloft.platform import store as platform_store
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
@@ -270,6 +271,7 @@
                     body = await response.read(platform_store.MAX_ANSWER_BYTES)
                 except http_client.TruncatedResponseError:
                     return http.HttpResponse(GATEWAY_TIMEOUT)
+                body = sealing.sealed_answer(target, body)
                 return http.HttpResponse(response.status, (), body)
             case result.Failure(failure):
                 if retries.verdict_of(failure.kind) is (state.Verdict.NOT_RUN):
--- a/poplarloft/daemon/serving/store/view.py
+++ b/poplarloft/daemon/serving/store/view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import dataclasses
 
 import eliot
 from returns import result
@@ -12,6 +13,7 @@
 from poplarloft.daemon import tasks
 from poplarloft.platform import documents
 from poplarloft.platform import names
+from poplarloft.platform import sealing
 from poplarloft.platform import store as platform_store
 from poplarloft.protocol import errors
 from poplarloft import state
@@ -42,6 +44,12 @@
         self.targets: dict[str, state.WeightsTarget] = {}
         self.retiring: set[str] = set()
         self.listeners: list[Listener] = []
+        self.history = serving.PrefixHistory(clock, prefix)
+
+    @property
+    def age_ms(self) -> int:
+        """Time since the configuration is known to have been in force."""
+        return self.clock.now_ms() - self.history.confirmed_at_ms
 
     def start(
         self,
@@ -51,10 +59,23 @@
     ) -> None:
         """Start following the keys."""
         watcher = prefix_watcher.PrefixWatcher(
-            self.clock, store, self.prefix, self, feed=feed
+            self.clock, store, self.prefix, self, feed=feed, seal=_sealed
         )
+        self.history = watcher.history
         task_set.supervise(watcher.run)
 
+    async def read_newest(self, store: state.RevisionStore) -> bool:
+        """Read the configuration in force; return whether it was read."""
+        found = await store.get(names.CONFIGURATION_KEY)
+        match found:
+            case result.Success(state.Entry() as entry):
+                change = state.Change(
+                    entry.key, entry.revision, _sealed(entry)
+                )
+                self.on_change(change)
+                return True
+        return False
+
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
         """Replace the retirements and apply all existing entries."""
         self.retiring.clear()
@@ -114,9 +135,18 @@
             version=decoded.version,
             revision=entry.revision,
             routes=len(decoded.routes),
+            accounts=len(decoded.accounts or ()),
         )
 
 
+def _sealed(entry: state.Entry) -> state.Entry:
+    """Return an entry without API keys."""
+    if entry.key != names.CONFIGURATION_KEY:
+        return entry
+    value = sealing.seal_configuration(entry.value)
+    return dataclasses.replace(entry, value=value)
+
+
 class SamplerView:
     """The upstreams announced in the store.
 
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -8,6 +8,7 @@
 from poplarloft.platform import names
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
+from poplarloft.protocol import http
 from poplarloft import state
 
 __all__ = [
@@ -48,6 +49,7 @@
     due_ms: float = 60_000
     item_ttl_s: float = 600
     single_version: bool = False
+    public: bool = False  # needs no API key
 
 
 class _Model(msgspec.Struct):
@@ -72,11 +74,24 @@
     idle_timeout_ms: int
 
 
+class _Tenant(msgspec.Struct):
+    """A client account.
+
+    Once its keys have been replaced by their digests, `keys` is empty.
+    """
+
+    name: str
+    keys: list[str] = []
+    key_digests: list[str] = []
+    priority: int | None = None
+
+
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
 
 
 class _LoadedModel(msgspec.Struct):
@@ -142,6 +157,45 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
+        _accounts(document),
+    )
+
+
+def _accounts(
+    document: _Configuration,
+) -> dict[str, state.ClientAccount] | None:
+    """Return the client accounts, None if requests need no keys."""
+    if document.tenants is None:
+        return None
+    accounts: dict[str, state.ClientAccount] = {}
+    owners: dict[str, str] = {}
+    for row in document.tenants:
+        account = _account(row)
+        if account.name in accounts:
+            raise errors.FieldError(
+                "tenants", f"two accounts are named {account.name!r}"
+            )
+        accounts[account.name] = account
+        for digest in account.key_digests:
+            other = owners.setdefault(digest, account.name)
+            if other != account.name:
+                raise errors.FieldError(
+                    "tenants",
+                    f"{other!r} and {account.name!r} have the same key",
+                )
+    for route in document.routes:
+        if route.public and KINDS.get(route.kind) is state.RouteKind.LOTS:
+            raise errors.FieldError(
+                "routes",
+                f"{route.name!r} is public, but its lots need an account",
+            )
+    return accounts
+
+
+def _account(row: _Tenant) -> state.ClientAccount:
+    digests = [http.bearer_digest(key) for key in row.keys]
+    return state.ClientAccount(
+        row.name, (*row.key_digests, *digests), row.priority
     )
 
 
@@ -187,6 +241,7 @@
         due_ms=int(row.due_ms),
         item_ttl_ms=int(row.item_ttl_s * MS_PER_S),
         single_version=row.single_version,
+        is_public=row.public,
     )
 
 
--- a/poplarloft/platform/ingress.py
+++ b/poplarloft/platform/ingress.py
@@ -20,6 +20,7 @@
     "ReadLot",
     "forwarded_call",
     "is_readiness_probe",
+    "key_digest",
     "parse_lot_call",
     "plain_response",
     "refusal_response",
@@ -46,6 +47,7 @@
 )
 STATUS_OF_REASON = {
     state.Reason.BAD_REQUEST: 400,
+    state.Reason.UNAUTHENTICATED: 401,
     state.Reason.UNKNOWN_ROUTE: 404,
     state.Reason.UNKNOWN_LOT: 404,
     state.Reason.BODY_TOO_LARGE: 413,
@@ -56,7 +58,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardedCall:
-    """A client's request that is forwarded to an upstream."""
+    """A client's request that is forwarded to an upstream.
+
+    `caller` is its sender, None if the configuration has no accounts.
+    """
 
     id: str
     host: str
@@ -65,11 +70,16 @@
     headers: http.Headers
     body: bytes | http.BodyStream
     deadline_ms: int
+    caller: state.Caller | None = None
 
     def hasher(self) -> http.RequestHasher:
         """Return a hasher of the request, without its body."""
-        caller = self._header("authorization")
-        return http.RequestHasher(caller, self.host + self.target)
+        return http.RequestHasher(self._sender(), self.host + self.target)
+
+    @property
+    def account(self) -> str:
+        """The client account that sends it, empty if there is none."""
+        return "" if self.caller is None else self.caller.account
 
     @property
     def takes_up_stream(self) -> bool:
@@ -87,11 +97,16 @@
 
     def _stream_key(self, first_id: str) -> str:
         """Return a key that other accounts and hosts do not share."""
-        caller = self._header("authorization")
-        text = f"{caller}\n{self.host}\n{first_id}"
+        text = f"{self._sender()}\n{self.host}\n{first_id}"
         digest = hashlib.blake2b(text.encode(), digest_size=STREAM_KEY_BYTES)
         return digest.hexdigest()
 
+    def _sender(self) -> str:
+        """Return what all requests of the sender have in common."""
+        if self.caller is not None:
+            return self.caller.account
+        return self._header(names.AUTHORIZATION)
+
     def _header(self, name: str) -> str:
         return dict(self.headers).get(name, "")
 
@@ -135,6 +150,15 @@
     return request.headers.get(names.REQUEST_ID, "")
 
 
+def key_digest(request: http.HttpRequest) -> str:
+    """Return the digest of a request's API key, empty if it has none."""
+    value = request.headers.get(names.AUTHORIZATION, "")
+    scheme, _, key = value.partition(" ")
+    if scheme.lower() != names.KEY_SCHEME or not key.strip():
+        return ""
+    return http.bearer_digest(key.strip())
+
+
 def parse_lot_call(
     request: http.HttpRequest,
 ) -> ReadLot | ReadItem | EndLot | None:
@@ -161,11 +185,15 @@
     return ReadLot(lot_id, position, wait_ms)
 
 
-def forwarded_call(request: http.HttpRequest) -> ForwardedCall:
+def forwarded_call(
+    request: http.HttpRequest, caller: state.Caller | None = None
+) -> ForwardedCall:
     """Return a client's request as a call to an upstream.
 
     Hop-by-hop headers are removed, and so are those that are set anew for
-    each upstream.
+    each upstream. If the configuration has accounts, the upstream is told
+    the account of the caller, and neither the key nor what the client says
+    of its account.
 
     Raises
     ------
@@ -178,11 +206,15 @@
     dropped = HOP_BY_HOP_HEADERS | {names.DEADLINE_MS, names.EXPECT_INSTANCE}
     connection = request.headers.get("connection", "")
     dropped |= {name.strip().lower() for name in connection.split(",")}
+    if caller is not None:
+        dropped |= {names.AUTHORIZATION, names.ACCOUNT}
     headers = tuple(
         (name, value)
         for name, value in request.headers.items()
         if name not in dropped
     )
+    if caller is not None and caller.account:
+        headers += ((names.ACCOUNT, caller.account),)
     deadline = request.headers.get(names.DEADLINE_MS)
     return ForwardedCall(
         request_id(request),
@@ -192,6 +224,7 @@
         headers,
         request.stream or request.body,
         _number(names.DEADLINE_MS, deadline or str(DEFAULT_DEADLINE_MS)),
+        caller,
     )
 
 
--- a/poplarloft/platform/lots.py
+++ b/poplarloft/platform/lots.py
@@ -50,8 +50,14 @@
     )
 
 
-def decode_lot(lot_id: str, host: str, path: str, body: bytes) -> state.Lot:
-    """Return the lot in the body of a request.
+def decode_lot(
+    lot_id: str,
+    host: str,
+    path: str,
+    body: bytes,
+    caller: state.Caller | None = None,
+) -> state.Lot:
+    """Return the lot in the body of a request of `caller`.
 
     Raises
     ------
@@ -75,6 +81,7 @@
         document.min_version,
         document.group_count,
         items,
+        "" if caller is None else caller.account,
     )
 
 
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -16,6 +16,9 @@
 
 # Header names are compared in lower case.
 REQUEST_ID = "x-request-id"
+AUTHORIZATION = "authorization"
+ACCOUNT = "x-tenant"
+KEY_SCHEME = "token"  # of the header with the API key
 DEADLINE_MS = "x-deadline-ms"
 WAIT_MS = "x-wait-ms"
 EXPECT_INSTANCE = "x-expect-instance"
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -124,7 +124,7 @@
     async def start_item(
         self,
         sampler: state.Sampler,
-        host: str,
+        lot: state.Lot,
         item: state.LotItem,
         deadline_ms: int,
         events_received: int,
@@ -137,9 +137,9 @@
         the head of the response and for each chunk of its body.
         """
         headers = [
-            ("host", host),
+            ("host", lot.host),
             (names.REQUEST_ID, item.id),
-            *item.headers,
+            *_item_headers(lot, item),
             (names.DEADLINE_MS, str(deadline_ms)),
             (names.EXPECT_INSTANCE, sampler.name),
             (names.PRIORITY, str(priority)),
@@ -293,6 +293,17 @@
             self.observer.on_control_response(sampler, note)
 
 
+def _item_headers(
+    lot: state.Lot, item: state.LotItem
+) -> list[tuple[str, str]]:
+    """Return an item's headers, with the account that it belongs to."""
+    if not lot.account:
+        return list(item.headers)
+    private = (names.AUTHORIZATION, names.ACCOUNT)
+    headers = [row for row in item.headers if row[0].lower() not in private]
+    return [*headers, (names.ACCOUNT, lot.account)]
+
+
 async def discard(response: http_client.UpstreamResponse) -> None:
     """Read the rest of a response, so that its connection can be reused.
 
--- a/poplarloft/protocol/errors.py
+++ b/poplarloft/protocol/errors.py
@@ -6,7 +6,13 @@
 import msgspec
 import pydantic
 
-__all__ = ["FieldError", "ProtocolError", "decoded", "first_field_error"]
+__all__ = [
+    "DECODING_ERRORS",
+    "FieldError",
+    "ProtocolError",
+    "decoded",
+    "first_field_error",
+]
 
 MAX_REASON_CHARS = 200
 T = typing.TypeVar("T")
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -57,7 +57,8 @@
 _BATCH = msgspec.msgpack.Decoder(tuple[state.LotResult, ...])
 _CHECKPOINTS = msgspec.msgpack.Decoder(tuple[state.CheckpointIncrement, ...])
 _CRASHES = msgspec.msgpack.Decoder(state.CrashNotice)
-_HEAD = msgspec.msgpack.Decoder(int)
+# Heads from before there were accounts hold the number of items alone.
+_HEAD = msgspec.msgpack.Decoder(int | state.LotHead)
 
 
 def check_lot_id(lot_id: str) -> str:
@@ -141,7 +142,7 @@
 
 
 def head_key(lot_id: str) -> str:
-    """Return the key of the number of a lot's items.
+    """Return the key of a lot's head.
 
     It sorts before the keys of all batches.
     """
@@ -163,14 +164,15 @@
     return errors.decoded("lot record", lambda: _RECORD.decode(value))
 
 
-def encode_head(total: int) -> bytes:
-    """Return the encoded number of a lot's items."""
-    return msgspec.msgpack.encode(total)
+def encode_head(head: state.LotHead) -> bytes:
+    """Return the encoded head of a lot."""
+    return msgspec.msgpack.encode(head)
 
 
-def decode_head(value: bytes) -> int:
-    """Return the number of a lot's items; raises `FieldError` if malformed."""
-    return errors.decoded("lot head", lambda: _HEAD.decode(value))
+def decode_head(value: bytes) -> state.LotHead:
+    """Return the head of a lot; raises `FieldError` if malformed."""
+    head = errors.decoded("lot head", lambda: _HEAD.decode(value))
+    return state.LotHead(head) if isinstance(head, int) else head
 
 
 def encode_batch(results: tuple[state.LotResult, ...]) -> bytes:
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -87,6 +87,18 @@
         le=600_000,
         description="Longest time to put a new configuration in force, in ms",
     )
+    revocation_bound_ms: int = pydantic.Field(
+        default=5_000,
+        ge=100,
+        le=600_000,
+        description="Longest time until a withdrawn API key stops working, "
+        "in ms",
+    )
+    revokes_strictly: bool = pydantic.Field(
+        default=False,
+        description="Whether that bound also holds for daemons that are cut "
+        "off from the store, which then refuse all API keys",
+    )
     engines_check_fence: bool = pydantic.Field(
         default=True,
         description="Whether engines reject orders with an old fencing token",
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -4,6 +4,8 @@
 from poplarloft.state.claims import ClaimKey
 from poplarloft.state.claims import Ledger
 from poplarloft.state.claims import LedgerId
+from poplarloft.state.client_accounts import Caller
+from poplarloft.state.client_accounts import ClientAccount
 from poplarloft.state.clock import BootClock
 from poplarloft.state.clock import Clock
 from poplarloft.state.clock import ManualClock
@@ -45,6 +47,7 @@
 from poplarloft.state.lots import CheckpointIncrement
 from poplarloft.state.lots import ItemState
 from poplarloft.state.lots import Lot
+from poplarloft.state.lots import LotHead
 from poplarloft.state.lots import LotItem
 from poplarloft.state.lots import LotRecord
 from poplarloft.state.lots import LotResult
@@ -125,6 +128,7 @@
     "Address",
     "Body",
     "BootClock",
+    "Caller",
     "Change",
     "Changes",
     "CheckpointBatch",
@@ -135,6 +139,7 @@
     "ClaimKey",
     "ClaimRequest",
     "ClearedUpdate",
+    "ClientAccount",
     "Clock",
     "Configuration",
     "CrashNotice",
@@ -171,6 +176,7 @@
     "LotAccepted",
     "LotBody",
     "LotEnded",
+    "LotHead",
     "LotItem",
     "LotRecord",
     "LotResult",
--- a/poplarloft/state/lots.py
+++ b/poplarloft/state/lots.py
@@ -7,12 +7,14 @@
 import dataclasses
 import enum
 
+from poplarloft.state import client_accounts
 from poplarloft.state import verdict
 
 __all__ = [
     "CheckpointIncrement",
     "ItemState",
     "Lot",
+    "LotHead",
     "LotItem",
     "LotRecord",
     "LotResult",
@@ -101,6 +103,8 @@
         Lowest weight version that may generate a token.
     groups_wanted : int
         Number of complete groups that the trainer waits for.
+    account : str
+        Client account that it belongs to, empty if there was none.
     """
 
     id: str
@@ -111,6 +115,7 @@
     min_version: int
     groups_wanted: int
     items: tuple[LotItem, ...]
+    account: str = ""
 
     def find_item(self, item_id: str) -> LotItem | None:
         """Return the item with this identifier, if the lot has it."""
@@ -120,6 +125,33 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LotHead:
+    """What is known of a lot for as long as its results can be read.
+
+    Parameters
+    ----------
+    total : int
+        Number of its items.
+    account : str
+        Client account that it belongs to, empty if there was none.
+    """
+
+    total: int
+    account: str = ""
+
+    def is_readable_by(self, caller: client_accounts.Caller | None) -> bool:
+        """Return whether a caller may read and end the lot.
+
+        A lot of no account is open to all.
+        """
+        return (
+            caller is None
+            or not self.account
+            or caller.account == self.account
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LotRecord:
     """An accepted lot with the Unix time of its acceptance."""
@@ -127,6 +159,11 @@
     lot: Lot
     accepted_at_ms: int
 
+    @property
+    def head(self) -> LotHead:
+        """What stays known of the lot."""
+        return LotHead(len(self.lot.items), self.lot.account)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CheckpointIncrement:
--- a/poplarloft/state/serving.py
+++ b/poplarloft/state/serving.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from poplarloft.state import client_accounts
 from poplarloft.state import lots
 
 __all__ = [
@@ -59,6 +60,8 @@
     single_version : bool
         For lots: whether all of an output must come from one weight
         version.
+    is_public : bool
+        Whether requests need no API key.
     """
 
     name: str
@@ -74,6 +77,7 @@
     due_ms: int = 60_000
     item_ttl_ms: int = 600_000
     single_version: bool = False
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -124,12 +128,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServingConfiguration:
-    """One complete version of the operator's configuration."""
+    """One complete version of the operator's configuration.
+
+    Parameters
+    ----------
+    accounts : dict of str to client_accounts.ClientAccount or None
+        The client accounts by name; None if requests need no API keys.
+    """
 
     version: int
     routes: tuple[PathRoute, ...]
     services: dict[str, ServiceInfo]
     limits: ServingLimits
+    accounts: dict[str, client_accounts.ClientAccount] | None = None
 
     def find_route(self, host: str, path: str) -> PathRoute | None:
         """Return the route of `host` with the longest matching prefix."""
@@ -145,4 +156,11 @@
         route = self.find_route(lot.host, lot.path)
         if route is None or route.kind is not RouteKind.LOTS:
             return None
-        return route
+        return self.route_for(lot.account, route)
+
+    def route_for(self, account: str, route: PathRoute) -> PathRoute:
+        """Return a route with the priority of an account's requests."""
+        found = (self.accounts or {}).get(account)
+        if found is None or found.priority in (None, route.priority):
+            return route
+        return dataclasses.replace(route, priority=found.priority)
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -36,6 +36,8 @@
     ----------
     runs : list of str
         Identifiers of the requests that started to run.
+    headers : dict of str to dict
+        Headers of these requests, by identifier.
     breaks_after : int or None
         Number of events after which the next output is cut off.
     resets : int
@@ -86,6 +88,7 @@
         self.running = 0
         self.runs: list[str] = []
         self.run_times: list[tuple[str, float]] = []
+        self.headers: dict[str, dict[str, str]] = {}
         self.born_ms = 1
         self.advertised: state.Address | None = None
         self.resumed: list[tuple[str, int]] = []
@@ -203,6 +206,7 @@
         request_id = request.headers.get("x-request-id", "")
         self.runs.append(request_id)
         self.run_times.append((request_id, time.monotonic()))
+        self.headers[request_id] = request.headers
         if self.crash_marker and self.crash_marker in request.body:
             self.crash(request_id)
             await asyncio.Event().wait()
