Meter what client accounts have begun

Cause: nobody counted.

Entry daemons count the requests that upstreams began, by account and window of Unix time, and tell the leader each second until it confirms; another leader is told all again. The leader decides on a window 0.35 of the due time after its end, has the store record it on the condition that there is no record, and reports only what is recorded. A successor reports the records that may not have been reported. Calls are made under the order lock, like orders to engines. The cell's leader is now the scheduler of lots and such further tasks. Steps of a machine's clock move a request into another window only if they last half a minute.

Lost when an entry daemon dies: what it counted in its last second, and what no leader has confirmed. A model test ends leaders between any two steps, with writes and reports lost, unanswered and late: no two counts for a window, no falling fence.

--- a/poplarloft/coordination/serving/leadership/leader_location.py
+++ b/poplarloft/coordination/serving/leadership/leader_location.py
@@ -32,6 +32,11 @@
         self.newest = message
         self.announced_at_ms = self.clock.now_ms()
 
+    @property
+    def fence(self) -> int:
+        """Fencing token of the leader, 0 if it has not been announced."""
+        return 0 if self.newest is None else self.newest.fence
+
     def address(self) -> state.Address | None:
         """Return the leader's address, None if not announced recently."""
         if self.newest is None:
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -4,14 +4,18 @@
 
 import eliot
 
+from poplarloft.coordination import metering
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.leadership import cell_leader
 from poplarloft.daemon.serving.leadership import leader_election
 from poplarloft.daemon.serving.leadership import standby
+from poplarloft.daemon.serving.metering import usage_reporter
 from poplarloft.daemon.serving.rollouts import lot_scheduler
 from poplarloft.daemon.serving.store import store_views
 from poplarloft.platform import documents
+from poplarloft.platform import infrastructure
 from poplarloft.platform import names
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
@@ -68,6 +72,8 @@
             ),
         )
         self.election: leader_election.LeaderElection | None = None
+        self.reporter: usage_reporter.UsageReporter | None = None
+        self.peers.on(state.UsageNotice, self._on_usage)
         self.confirmed_retirements: set[str] = set()
 
     async def start(self) -> None:
@@ -85,7 +91,7 @@
             self.store,
             own_record,
             self.standby_link,
-            self._make_scheduler,
+            self._make_leader,
             self.feed.set_single_source,
             self.orders,
         )
@@ -111,6 +117,32 @@
         self.client.close()
         eliot.log_message("stopped", store_calls=self.store.calls)
 
+    def _make_leader(self, fence: int) -> cell_leader.CellLeader:
+        lots = self._make_scheduler(fence)
+        self.reporter = self._make_reporter(lots)
+        leader_tasks = [] if self.reporter is None else [self.reporter]
+        return cell_leader.CellLeader(lots, leader_tasks)
+
+    def _make_reporter(
+        self, leadership: usage_reporter.Leadership
+    ) -> usage_reporter.UsageReporter | None:
+        """Return what reports usage, None if that is not asked for."""
+        rules = self.settings.metering_rules()
+        address = self.settings.infrastructure
+        if rules is None or address is None:
+            return None
+        clock = state.SteadyWallClock(self.wall_clock, state.BootClock())
+        return usage_reporter.UsageReporter(
+            self.store,
+            infrastructure.InfrastructureClient(
+                self.client,
+                addresses.parse_address(address),
+                self.settings.name,
+            ),
+            metering.WindowLedger(clock, rules),
+            leadership,
+        )
+
     def _make_scheduler(self, fence: int) -> lot_scheduler.LotScheduler:
         asyncio.get_running_loop().call_soon(self._confirm_retirements)
         checkpoints = None
@@ -155,12 +187,27 @@
                         self.peers.send(member.feed, message)
             await asyncio.sleep(ANNOUNCE_INTERVAL_MS / MS_PER_S)
 
+    def _on_usage(self, notice: state.UsageNotice) -> None:
+        """Take what an entry daemon has counted, as the leader."""
+        if self.reporter is None or not self._is_leader():
+            return
+        if self.reporter.on_notice(notice):
+            receipt = state.UsageReceipt(
+                notice.ticket, self.reporter.leadership.fence
+            )
+            self.peers.send_reliably(notice.address, receipt)
+
+    def _is_leader(self) -> bool:
+        return self.election is not None and (
+            self.election.scheduler is not None
+        )
+
     def _on_lot_accepted(self, hint: state.LotAccepted) -> None:
-        if self.election is not None and self.election.scheduler is not None:
+        if self._is_leader():
             self.views.lots.on_accepted(hint)
 
     def _on_lot_ended(self, hint: state.LotEnded) -> None:
-        if self.election is not None and self.election.scheduler is not None:
+        if self._is_leader():
             self.views.lots.on_ended(hint)
 
     def _confirm_retirements(self) -> None:
@@ -168,7 +215,7 @@
 
         This needs no check, because no instance stores anything locally.
         """
-        if self.election is None or self.election.scheduler is None:
+        if not self._is_leader():
             return
         for name in self.views.operator.retiring - self.confirmed_retirements:
             self.confirmed_retirements.add(name)
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -11,6 +11,7 @@
 from poplarloft.daemon.serving.accounts import account_gate
 from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.metering import usage_link
 from poplarloft.daemon.serving.requests import crash_guard
 from poplarloft.daemon.serving.requests import crash_news
 from poplarloft.daemon.serving.requests import forwarding
@@ -67,6 +68,14 @@
             self.limits,
             self.guard,
         )
+        self.leader_location = serving.LeaderLocation(self.clock)
+        self.usage = usage_link.UsageLink(
+            state.SteadyWallClock(self.wall_clock, state.BootClock()),
+            settings.name,
+            settings.metering_rules(),
+            self.peers,
+            self.leader_location,
+        )
         self.forwarder = forwarding.Forwarder(
             self.clock,
             client,
@@ -75,6 +84,7 @@
             self.guard,
             self.streams,
             self.origins,
+            self.usage,
         )
         self.lot_service = lot_service.LotService(
             self.clock,
@@ -91,7 +101,6 @@
                 settings.revocation_bound_ms, settings.revokes_strictly
             ),
         )
-        self.leader_location = serving.LeaderLocation(self.clock)
         self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
         self.request_server = self._make_server(self.handle)
@@ -144,6 +153,7 @@
         self.operator.start(self.store, self.task_set, self.feed)
         self.samplers.start(self.store, self.task_set, self.feed)
         self.guard.news.start(self.task_set, self.feed)
+        self.task_set.supervise(self.usage.run)
         self.streams.start(self.task_set)
         self.origins.start(self.task_set)
         await self.readiness_server.start(
@@ -187,6 +197,7 @@
         await asyncio.sleep(self.settings.drain_notice_ms / MS_PER_S)
         remaining_ms = (end_s - loop.time()) * MS_PER_S - EXIT_MARGIN_MS
         cut = await self.request_server.drain(max(0, int(remaining_ms)))
+        self.usage.tell()
         await self.readiness_server.drain(0)
         await self.relay.stop()
         await self.task_set.cancel_all()
--- /dev/null
+++ b/poplarloft/daemon/serving/metering/__init__.py
@@ -0,0 +1,1 @@
+"""Metering: instances count requests, the leader reports them."""
--- a/poplarloft/daemon/serving/requests/attempt_history.py
+++ b/poplarloft/daemon/serving/requests/attempt_history.py
@@ -37,6 +37,8 @@
         Why no upstream may get the request.
     deadline_ms : int
         Time on the monotonic clock at which the client gets a refusal.
+    sent_at_ms : int
+        Unix time at which the last attempt was sent.
     """
 
     names: list[str] = dataclasses.field(default_factory=list)
@@ -50,6 +52,7 @@
     software_version: str = ""
     refusal: state.Reason | None = None
     deadline_ms: int = 0
+    sent_at_ms: int = 0
 
     @property
     def verdict(self) -> state.Verdict:
--- a/poplarloft/daemon/serving/requests/forwarding.py
+++ b/poplarloft/daemon/serving/requests/forwarding.py
@@ -11,6 +11,7 @@
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
 from poplarloft.daemon import quarantines
+from poplarloft.daemon.serving.metering import usage_link
 from poplarloft.daemon.serving.requests import attempt_history
 from poplarloft.daemon.serving.requests import crash_guard
 from poplarloft.daemon.serving.requests import stop_deadline
@@ -66,6 +67,8 @@
         Is told which software versions began the streams of clients.
     origins : stream_origins.OriginFinder
         Knows these when clients take their streams up.
+    usage : usage_link.UsageLink
+        Counts what upstreams have begun for each account.
     """
 
     def __init__(
@@ -77,8 +80,10 @@
         guard: crash_guard.CrashGuard,
         streams: stream_link.StreamLink,
         origins: stream_origins.OriginFinder,
+        usage: usage_link.UsageLink,
     ) -> None:
         self.clock = clock
+        self.usage = usage
         self.client = client
         self.balancer = balancer
         self.guard = guard
@@ -200,6 +205,7 @@
         self.balancer.on_send(sampler)
         flight = self.guard.begin(identified, sampler)
         history.is_sent = True
+        history.sent_at_ms = self.usage.clock.now_ms()
         response: http.HttpResponse | None = None
         is_answered = False
         try:
@@ -223,6 +229,8 @@
                         identified, sampler, failure, history
                     )
             history.is_sent = False
+            if response is not None:
+                self.usage.on_run(call.account, history.sent_at_ms)
             return self._watched(response, flight, identified)
         finally:
             if response is None or isinstance(response.body, bytes):
@@ -316,6 +324,7 @@
         verdict = retries.verdict_of(failure.kind)
         if verdict is not state.Verdict.NOT_RUN:
             history.may_have_run = True
+            self.usage.on_run(identified.call.account, history.sent_at_ms)
         history.detail = f"{sampler.name}: {failure.kind.value}"
         self.balancer.on_failure(sampler)
         eliot.log_message(
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -5,6 +5,8 @@
 ITEM_PATH = "/poplarloft/items/"
 REPORT_PATH = "/poplarloft/report"
 ORDER_PATH = "/poplarloft/order"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
 
 STORE_KEY_PATH = "/poplarloft/kv-key"
 STORE_RANGE_PATH = "/poplarloft/kv-range"
@@ -32,6 +34,8 @@
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"  # the attempt that brought a stream's first event
 RETRY_AFTER = "retry-after"
+HOLDER = "x-duty-holder"
+FENCE = "x-fence-token"
 LEAVING = "server-leaving"
 RATE_LIMIT = "server-limit"  # requests per second of all instances
 
--- a/poplarloft/protocol/log_events.py
+++ b/poplarloft/protocol/log_events.py
@@ -24,6 +24,7 @@
         "granted",
         "passed-over",
         "True",
+        "accepted",
     }
 )
 FAILURE_SUFFIXES = (
--- a/poplarloft/protocol/serving_messages.py
+++ b/poplarloft/protocol/serving_messages.py
@@ -41,6 +41,8 @@
     state.LeavingNotice,
     state.StreamReceipt,
     state.StreamRecall,
+    state.UsageNotice,
+    state.UsageReceipt,
 ]
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _DECODERS = [
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -6,6 +6,7 @@
 import pydantic
 import pydantic_settings
 
+from poplarloft.coordination import metering
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 
@@ -13,6 +14,7 @@
 
 ENV_PREFIX = "POPLARLOFT_"
 FILE_FLAG = "--settings-file"
+MS_PER_S = 1_000
 
 
 class ServingSettings(pydantic_settings.BaseSettings):
@@ -110,12 +112,40 @@
         description="Shortest time between orders of two daemons to an "
         "engine that checks no fencing token, in ms",
     )
+    infrastructure: addresses.AddressText | None = pydantic.Field(
+        default=None,
+        description="IP number and port of the platform's interface for "
+        "metering and capacity",
+    )
+    metering_window_s: float | None = pydantic.Field(
+        default=None,
+        gt=0,
+        le=86_400,
+        description="Span of Unix time for which the requests of each "
+        "account are counted, in s",
+    )
+    metering_due_s: float = pydantic.Field(
+        default=10.0,
+        gt=0,
+        le=86_400,
+        description="Time after a span in which its counts are to be "
+        "reported, in s",
+    )
     lot_kept_s: float = pydantic.Field(
         default=120.0,
         gt=0,
         description="Time that a lot is readable after its submission, in s",
     )
 
+    def metering_rules(self) -> metering.MeteringRules | None:
+        """Return when usage is to be reported, None if it is not."""
+        if self.infrastructure is None or self.metering_window_s is None:
+            return None
+        return metering.MeteringRules(
+            int(self.metering_window_s * MS_PER_S),
+            int(self.metering_due_s * MS_PER_S),
+        )
+
     def region_by_data_centre(self) -> dict[str, str]:
         """Return the region of each data centre, its own included."""
         pairs = [p.split(":") for p in self.regions.split(",") if ":" in p]
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -1,5 +1,8 @@
 """Data classes shared by all layers, and interfaces to external services."""
 
+from poplarloft.state.capacity import EngineOrder
+from poplarloft.state.capacity import EnginePool
+from poplarloft.state.capacity import EngineScaling
 from poplarloft.state.claims import Claim
 from poplarloft.state.claims import ClaimKey
 from poplarloft.state.claims import Ledger
@@ -10,6 +13,7 @@
 from poplarloft.state.clock import Clock
 from poplarloft.state.clock import ManualClock
 from poplarloft.state.clock import MonotonicClock
+from poplarloft.state.clock import SteadyWallClock
 from poplarloft.state.clock import WallClock
 from poplarloft.state.configuration import Body
 from poplarloft.state.configuration import Configuration
@@ -55,6 +59,10 @@
 from poplarloft.state.lots import RewardCall
 from poplarloft.state.membership import MemberRecord
 from poplarloft.state.membership import MemberStatus
+from poplarloft.state.metering import MeterRecord
+from poplarloft.state.metering import UsageNotice
+from poplarloft.state.metering import UsageReceipt
+from poplarloft.state.metering import WindowCounts
 from poplarloft.state.peer_messages import ClaimAnswer
 from poplarloft.state.peer_messages import ClaimRequest
 from poplarloft.state.peer_messages import HeadAnswer
@@ -146,6 +154,9 @@
     "CrashUpdate",
     "Document",
     "DocumentKind",
+    "EngineOrder",
+    "EnginePool",
+    "EngineScaling",
     "Entry",
     "Expectation",
     "FeedAnswer",
@@ -183,6 +194,7 @@
     "ManualClock",
     "MemberRecord",
     "MemberStatus",
+    "MeterRecord",
     "Metrics",
     "MonotonicClock",
     "NamedLimit",
@@ -217,6 +229,7 @@
     "ServingMessage",
     "Slot",
     "Span",
+    "SteadyWallClock",
     "StoreFailure",
     "StoreFailureKind",
     "StreamAnswer",
@@ -232,6 +245,8 @@
     "UpstreamStatus",
     "UsageDispute",
     "UsageEntry",
+    "UsageNotice",
+    "UsageReceipt",
     "UsageSegment",
     "UsageTotal",
     "UsageUpdate",
@@ -240,6 +255,7 @@
     "WallClock",
     "WeightsBody",
     "WeightsTarget",
+    "WindowCounts",
     "WriteAnswer",
     "WriteOutcome",
     "WriteResult",
--- a/poplarloft/state/serving_messages.py
+++ b/poplarloft/state/serving_messages.py
@@ -2,6 +2,7 @@
 
 from poplarloft.state import crashes
 from poplarloft.state import feeds
+from poplarloft.state import metering
 from poplarloft.state import standby
 from poplarloft.state import streams
 from poplarloft.state import upstream_limits
@@ -29,4 +30,6 @@
     | streams.StreamRecall
     | streams.StreamLookup
     | streams.StreamAnswer
+    | metering.UsageNotice
+    | metering.UsageReceipt
 )
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -133,8 +133,8 @@
 
     With `uses_change_feed`, entry daemons read store changes from each
     other. With `order_turn_ms`, engines check no fencing tokens. With
-    `has_members`, daemons register in the store and list each other. All
-    must be set before `start`.
+    `has_members`, daemons register in the store and list each other.
+    `extra` has more flags for all daemons. All must be set before `start`.
     """
 
     def __init__(self, services=2, engines=2):
@@ -153,6 +153,7 @@
         self.order_turn_ms = None
         self.grace_s = None
         self.has_members = False
+        self.extra = []
 
     async def start(self, entries=1, bulks=1):
         """Start stand-ins and daemons; return when entry daemons are ready."""
@@ -273,6 +274,7 @@
             "--data-centre=z",
             f"--store={store or self.store_address}",
             "--drain-notice-ms=50",
+            *self.extra,
         ]
         if role == "entry":
             arguments += [
--- a/tests/test_serving_hints.py
+++ b/tests/test_serving_hints.py
@@ -51,7 +51,7 @@
     fleet.store.drops_watch_events = True
     status, _, _ = await fleet.call("DELETE", "/poplarloft/lots/lot-a")
     assert status == 200
-    scheduler = fleet.bulks[0].election.scheduler
+    scheduler = fleet.bulks[0].election.scheduler.lots
     await serving_fleet.eventually(
         lambda: "lot-a" in scheduler.ended_lots, timeout_s=1
     )
--- a/tests/test_serving_lots.py
+++ b/tests/test_serving_lots.py
@@ -208,7 +208,7 @@
     await fleet.start()
     generator_of = fleet.bulks[0].election
     await serving_fleet.eventually(lambda: generator_of.scheduler)
-    client = generator_of.scheduler.generator.client
+    client = generator_of.scheduler.lots.generator.client
     attempts = []
 
     async def fail(sampler, host, item, *args):
--- a/tests/test_serving_orders.py
+++ b/tests/test_serving_orders.py
@@ -61,7 +61,7 @@
     others = [daemon for daemon in fleet.bulks if daemon is not leader]
     await name_version(fleet, 2)
     leader.views.operator.targets.update(others[0].views.operator.targets)
-    leader.election.scheduler.wake()
+    leader.election.scheduler.lots.wake()
     await serving_fleet.eventually(
         lambda: any(daemon.election.scheduler for daemon in others)
     )
