Bound what clients make a daemon hold

Cause: while a request is handled its session reads on to notice a disconnect, and kept all that came: 64 KiB for each small request that was served. Ruled out: the log (its rate is limited), answers (held back by the write buffer).

Reading stops at 64 KiB ahead. What all connections hold, and how many there are, is bounded by the memory and the descriptors of the machine, which the settings now have; the connections that hold most in excess are closed first. An answer of which nothing is read for 30 s ends its connection.

--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -1,6 +1,7 @@
 """The role `entry`: serves clients and trainers."""
 
 import asyncio
+import dataclasses
 
 import eliot
 from returns import result
@@ -103,6 +104,9 @@
         )
         self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
+        self.client_limits = http_server.machine_limits(
+            settings.memory_mb, settings.max_descriptors
+        )
         self.request_server = self._make_server(self.handle)
         self.readiness_server = self._make_server(self.answer_readiness)
         self.operator.listeners.append(self._apply_limits)
@@ -348,7 +352,7 @@
     ) -> http_server.HttpServer:
         return http_server.HttpServer(
             handler,
-            http_server.ServerLimits(),
+            self.client_limits,
             self._max_body_bytes,
             cancel_on_disconnect=True,
             may_stream=self._may_stream,
@@ -376,7 +380,8 @@
         if configuration is None:
             return
         limits = configuration.limits
-        self.request_server.limits = http_server.ServerLimits(
+        self.request_server.limits = dataclasses.replace(
+            self.client_limits,
             max_head_bytes=limits.max_head_bytes,
             head_timeout_ms=limits.head_timeout_ms,
             idle_timeout_ms=limits.idle_timeout_ms,
--- a/poplarloft/protocol/serving_settings.py
+++ b/poplarloft/protocol/serving_settings.py
@@ -112,6 +112,20 @@
         description="Shortest time between orders of two daemons to an "
         "engine that checks no fencing token, in ms",
     )
+    memory_mb: int | None = pydantic.Field(
+        default=None,
+        ge=64,
+        le=1_000_000,
+        description="Memory that this process may use, in MB; bounds what "
+        "is held for clients",
+    )
+    max_descriptors: int | None = pydantic.Field(
+        default=None,
+        ge=100,
+        le=10_000_000,
+        description="Descriptors that this process may open; bounds the "
+        "connections of clients",
+    )
     infrastructure: addresses.AddressText | None = pydantic.Field(
         default=None,
         description="IP number and port of the platform's interface for "
--- a/poplarloft/transport/connections.py
+++ b/poplarloft/transport/connections.py
@@ -1,18 +1,17 @@
 """Client side of one HTTP/1.1 connection."""
 
 import asyncio
-from collections import abc
 import re
 import select
 import socket
 import ssl
 import time
-import typing
 
 import h11
 
 from poplarloft.protocol import http
 from poplarloft import state
+from poplarloft.transport import counting_reader
 
 __all__ = ["Connection", "open_connection", "read_head", "write_and_read"]
 
@@ -31,41 +30,23 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
 
 
-class _CountingReader(asyncio.StreamReader):
-    """A stream reader that counts the bytes that have arrived."""
-
-    def __init__(self) -> None:
-        super().__init__(BUFFER_BYTES, asyncio.get_running_loop())
-        self.arrived_bytes = 0
-        self.on_unexpected: abc.Callable[[], None] | None = None
-
-    def feed_data(self, data: typing.Any) -> None:
-        """Buffer data that has arrived, unless none is expected."""
-        self.arrived_bytes += len(data)
-        if self.on_unexpected is not None:
-            self.on_unexpected()
-        else:
-            super().feed_data(data)
-
-
 class Connection:
     """A client connection and the state of its current exchange.
 
     Attributes
     ----------
-    read_bytes : int
-        Number of bytes taken from the reader so far.
     expires_s : float
         Monotonic time after which the peer may close the idle connection;
         infinite until the peer has announced a timeout.
     """
 
     def __init__(
-        self, reader: _CountingReader, writer: asyncio.StreamWriter
+        self,
+        reader: counting_reader.CountingReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         self.reader = reader
         self.writer = writer
-        self.read_bytes = 0
         self.events_in_turn = 0
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -95,7 +76,7 @@
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes, or the peer's end, have arrived unread."""
-        if self.reader.arrived_bytes > self.read_bytes:
+        if self.reader.buffered_bytes > 0:
             return True
         # Bytes that the event loop has not received yet.
         poller = select.poll()
@@ -117,7 +98,7 @@
             states[h11.CLIENT] is h11.DONE
             and states[h11.SERVER] is h11.DONE
             and not self.http.trailing_data[0]
-            and self.reader.arrived_bytes == self.read_bytes
+            and self.reader.buffered_bytes == 0
             and not self.reader.at_eof()
             and not self.writer.is_closing()
         )
@@ -136,12 +117,11 @@
             self.events_in_turn += 1
             if event is not h11.NEED_DATA:
                 return event
-            if self.reader.arrived_bytes == self.read_bytes:
+            if self.reader.buffered_bytes == 0:
                 self.events_in_turn = 0  # as the read has to wait
             else:
                 await asyncio.sleep(0)
             data = await self.reader.read(READ_BYTES)
-            self.read_bytes += len(data)
             self.http.receive_data(data)
 
     def buffered_event(self) -> Event:
@@ -161,7 +141,7 @@
 ) -> Connection:
     """Connect to an address; raises `OSError` if that fails."""
     loop = asyncio.get_running_loop()
-    reader = _CountingReader()
+    reader = counting_reader.CountingReader(BUFFER_BYTES)
     protocol = asyncio.StreamReaderProtocol(reader)
     transport, _ = await loop.create_connection(
         lambda: protocol, address.host, address.port, ssl=tls
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -4,22 +4,27 @@
 import socket
 import ssl
 
+import eliot
 import h11
 
+from poplarloft.coordination import client_memory
 from poplarloft import state
+from poplarloft.transport import client_buffers
+from poplarloft.transport import counting_reader
 from poplarloft.transport import http_session
 from poplarloft.transport import request_reader
 from poplarloft.transport import server_limits
 
-__all__ = ["Handler", "HttpServer", "ServerLimits"]
+__all__ = ["Handler", "HttpServer", "ServerLimits", "machine_limits"]
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 BACKLOG = 1_024
 ATTACH_STEPS = 2  # iterations of the event loop
 MS_PER_S = 1_000
 Handler = http_session.Handler
 BodyLimit = request_reader.BodyLimit
 ServerLimits = server_limits.ServerLimits
+machine_limits = server_limits.machine_limits
 
 
 class HttpServer:
@@ -53,6 +58,9 @@
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.buffers = client_buffers.ClientBuffers(
+            limits.max_held_bytes, _log_closed
+        )
         self.body_limit = body_limit
         self.tls = tls
         self.cancel_on_disconnect = cancel_on_disconnect
@@ -71,10 +79,10 @@
             backlog=BACKLOG,
         )
         self.listener.setblocking(False)
-        self.server = await asyncio.start_server(
-            self._accept,
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._new_protocol,
             sock=self.listener,
-            limit=READ_BYTES,
             ssl=self.tls,
             backlog=BACKLOG,
         )
@@ -128,15 +136,24 @@
 
     def _new_protocol(self) -> asyncio.StreamReaderProtocol:
         loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(READ_BYTES, loop)
-        return asyncio.StreamReaderProtocol(reader, self._accept, loop)
+        reader = counting_reader.CountingReader(READ_BYTES)
+
+        def accept(_: object, writer: asyncio.StreamWriter) -> None:
+            self._accept(reader, writer)
+
+        return asyncio.StreamReaderProtocol(reader, accept, loop)
 
     def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: counting_reader.CountingReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         if len(self.sessions) >= self.limits.max_connections:
-            writer.transport.abort()
-            return
+            idle = self._longest_idle()
+            if idle is None:
+                writer.transport.abort()
+                return
+            idle.end_if_idle()
         session = http_session.Session(self, reader, writer)
         task = asyncio.get_running_loop().create_task(_serve(session))
         self.sessions[task] = session
@@ -144,6 +161,24 @@
         # its first step runs no code of its own, not even a `finally` block.
         task.add_done_callback(lambda ended: self.sessions.pop(ended).close())
 
+    def _longest_idle(self) -> http_session.Session | None:
+        """Return the session that has waited longest for its next request."""
+        return min(
+            (s for s in self.sessions.values() if s.is_idle),
+            key=lambda session: session.idle_since_s,
+            default=None,
+        )
+
+
+def _log_closed(hold: client_memory.ClientHold) -> None:
+    eliot.log_message(
+        "client-closed",
+        reason="holds-most",
+        ahead_bytes=hold.ahead_bytes,
+        body_bytes=hold.body_bytes,
+        unread_bytes=hold.unread_bytes,
+    )
+
 
 def _accept_all(listener: socket.socket) -> list[socket.socket]:
     """Return all connections that wait to be accepted."""
--- a/poplarloft/transport/http_session.py
+++ b/poplarloft/transport/http_session.py
@@ -8,14 +8,22 @@
 
 from poplarloft.protocol import http
 from poplarloft import state
+from poplarloft.transport import client_buffers
+from poplarloft.transport import counting_reader
 from poplarloft.transport import request_reader
 from poplarloft.transport import server_limits
 
-__all__ = ["Handler", "Session"]
+__all__ = ["Handler", "Session", "UnreadResponseError"]
+
+MS_PER_S = 1_000
 
 Handler = abc.Callable[[http.HttpRequest], abc.Awaitable[http.HttpResponse]]
 
 
+class UnreadResponseError(ConnectionError):
+    """A client has read nothing of its response for too long."""
+
+
 class _Server(request_reader.RequestPolicy, typing.Protocol):
     """The attributes of the server that a session reads.
 
@@ -28,6 +36,7 @@
 
     handler: Handler
     cancel_on_disconnect: bool
+    buffers: client_buffers.ClientBuffers
 
 
 class Session:
@@ -45,15 +54,27 @@
     def __init__(
         self,
         server: _Server,
-        reader: asyncio.StreamReader,
+        reader: counting_reader.CountingReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.server = server
-        self.requests = request_reader.RequestReader(server, reader, writer)
+        self.buffer = client_buffers.ConnectionBuffer(
+            server.buffers, writer.transport.abort
+        )
+        self.requests = request_reader.RequestReader(
+            server, reader, writer, self.buffer
+        )
+        reader.on_arrival = self.requests.note_ahead
         self.http = self.requests.http
         self.writer = writer
         self.has_served = False
         self.response_complete = True
+        self.idle_since_s = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it waits for the next request after having served one."""
+        return self.has_served and self.requests.idle_timeout is not None
 
     async def run(self) -> None:
         """Serve requests until either side ends the connection."""
@@ -78,6 +99,7 @@
         The reset prevents the client from treating a truncated response as
         complete.
         """
+        self.buffer.remove()
         if self.response_complete:
             self.writer.close()
         else:
@@ -96,9 +118,11 @@
         if response is None:
             return False
         await self._send(request, response)
+        self.buffer.take_body(0)
         if request.stream is not None:
             await self.requests.discard_body()
         self.has_served = True
+        self.idle_since_s = asyncio.get_running_loop().time()
         return self.http.our_state is h11.DONE and (
             self.http.their_state is h11.DONE
         )
@@ -182,7 +206,34 @@
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
         self.writer.write(b"".join(p for p in parts if p))
-        await self.writer.drain()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        """Wait until the client has read most of what was sent.
+
+        Raises
+        ------
+        UnreadResponseError
+            If it has read nothing for `unread_timeout_ms`.
+        """
+        transport = self.writer.transport
+        timeout_s = self.server.limits.unread_timeout_ms / MS_PER_S
+        unread = transport.get_write_buffer_size()
+        self.buffer.set_unread(unread)
+        while True:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self.writer.drain()
+                self.buffer.set_unread(transport.get_write_buffer_size())
+                return
+            except TimeoutError:
+                left = transport.get_write_buffer_size()
+                if left >= unread:
+                    self.response_complete = False
+                    raise UnreadResponseError(
+                        f"{left} bytes were not read for {timeout_s} s"
+                    ) from None
+                unread = left
 
     async def _send_streamed(
         self,
@@ -195,9 +246,9 @@
         async for chunk in body:
             if request.method != "HEAD":
                 self.writer.write(self.http.send(h11.Data(data=chunk)) or b"")
-            await self.writer.drain()
+            await self._drain()
         self.writer.write(self.http.send(h11.EndOfMessage()) or b"")
-        await self.writer.drain()
+        await self._drain()
 
     def _head(
         self, status: int, headers: list[tuple[str, str]]
@@ -228,4 +279,4 @@
             self.http.send(h11.EndOfMessage()),
         ]
         self.writer.write(b"".join(p for p in parts if p))
-        await self.writer.drain()
+        await self._drain()
--- a/poplarloft/transport/request_reader.py
+++ b/poplarloft/transport/request_reader.py
@@ -8,11 +8,18 @@
 
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
+from poplarloft.transport import counting_reader
 from poplarloft.transport import server_limits
 
-__all__ = ["BodyLimit", "PathPredicate", "RequestPolicy", "RequestReader"]
+__all__ = [
+    "BodyLimit",
+    "ClientBuffer",
+    "PathPredicate",
+    "RequestPolicy",
+    "RequestReader",
+]
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 MS_PER_S = 1_000
 BodyLimit = abc.Callable[[str], int]
 PathPredicate = abc.Callable[[str], bool]
@@ -23,6 +30,16 @@
 FINAL_READ_TIMEOUT_MS = 20
 
 
+class ClientBuffer(typing.Protocol):
+    """Accounts for what one connection makes the server hold."""
+
+    def set_ahead(self, size: int) -> None:
+        """Set the bytes that are not yet part of a request."""
+
+    def take_body(self, size: int) -> bool:
+        """Set the size of the body; return whether it may be read."""
+
+
 class RequestPolicy(typing.Protocol):
     """What a server allows in requests.
 
@@ -56,10 +73,12 @@
     def __init__(
         self,
         policy: RequestPolicy,
-        reader: asyncio.StreamReader,
+        reader: counting_reader.CountingReader,
         writer: asyncio.StreamWriter,
+        buffer: ClientBuffer,
     ) -> None:
         self.policy = policy
+        self.buffer = buffer
         self.reader = reader
         self.writer = writer
         self.http = h11.Connection(
@@ -172,9 +191,19 @@
             data = await self._read_with_timeout(FINAL_READ_TIMEOUT_MS)
         if not data:
             return False
-        self.http.receive_data(data)
+        self._receive(data)
         return True
 
+    def _receive(self, data: bytes) -> None:
+        """Take data that was read from the connection."""
+        self.http.receive_data(data)
+        self.note_ahead()
+
+    def note_ahead(self) -> None:
+        """Account for what the client has sent ahead."""
+        ahead = len(self.http.trailing_data[0])
+        self.buffer.set_ahead(ahead + self.reader.buffered_bytes)
+
     def _idle_ms(self) -> int:
         if self.policy.draining:
             return FIRST_REQUEST_GRACE_MS
@@ -193,8 +222,11 @@
 
     async def _read_body(self, path: str, headers: dict[str, str]) -> bytes:
         limit = self.policy.body_limit(path)
-        if int(headers.get("content-length", "0")) > limit:
+        length = int(headers.get("content-length", "0"))
+        if length > limit:
             raise server_limits.too_large(limit)
+        if not self.buffer.take_body(length):
+            raise server_limits.no_memory(length)
         if self.http.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             self.writer.write(self.http.send(proceed) or b"")
@@ -216,6 +248,8 @@
             size += len(event.data)
             if size > limit:
                 raise server_limits.too_large(limit)
+            if not self.buffer.take_body(size):
+                raise server_limits.no_memory(size)
             chunks.append(bytes(event.data))
 
     async def _next_event(self) -> Event:
@@ -227,7 +261,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self.reader.read(READ_BYTES)
-            self.http.receive_data(data)
+            self._receive(data)
 
     async def discard_body(self) -> None:
         """Read and discard the rest of a streamed request body.
@@ -243,12 +277,22 @@
             return
 
     async def await_disconnect(self) -> None:
-        """Return when the client disconnects; buffer what it sends."""
+        """Return when the client disconnects; buffer what it sends.
+
+        Once it has sent `max_ahead_bytes`, nothing more is read, and it is
+        no longer noticed that the client leaves.
+        """
+        ahead = len(self.http.trailing_data[0])
         try:
-            while data := await self.reader.read(READ_BYTES):
-                self.http.receive_data(data)
+            while ahead < self.limits.max_ahead_bytes:
+                data = await self.reader.read(READ_BYTES)
+                if not data:
+                    return
+                ahead += len(data)
+                self._receive(data)
         except OSError:
             return
+        await asyncio.Event().wait()
 
 
 def _check_head(head: h11.Request) -> None:
--- a/poplarloft/transport/server_limits.py
+++ b/poplarloft/transport/server_limits.py
@@ -10,12 +10,22 @@
     "RequestRefusedError",
     "ServerLimits",
     "bad_request",
+    "machine_limits",
     "malformed",
+    "no_memory",
     "too_large",
     "too_slow",
 ]
 
 
+BYTES_PER_MB = 1_000_000
+CLIENT_SHARE = 0.25  # of the memory, for what clients make a server hold
+CONNECTION_BYTES = 25_000  # of a connection that holds nothing
+RESERVED_DESCRIPTORS = 60  # files, listeners, peers and the store
+CONNECTION_SHARE = 0.75  # of the descriptors; the rest is for upstreams
+MEMORY_RETRY_MS = 500
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLimits:
     """Limits on the size and the duration of requests.
@@ -28,15 +38,26 @@
         Time in which the head and the body have to arrive.
     idle_timeout_ms : int
         Maximum time between two requests on a connection.
+    unread_timeout_ms : int
+        Maximum time in which a client reads nothing of a response.
+    max_ahead_bytes : int
+        What is read of further requests while one is served. A client that
+        has sent more waits.
     max_connections : int
-        Maximum number of open connections; further ones are reset.
+        Maximum number of open connections. Beyond it, the one that has
+        been idle longest is closed, or else the new one.
+    max_held_bytes : int
+        Maximum of what all connections together make the server hold.
     """
 
     max_head_bytes: int = 16_384
     head_timeout_ms: int = 10_000
     body_timeout_ms: int = 30_000
     idle_timeout_ms: int = 60_000
+    unread_timeout_ms: int = 30_000
+    max_ahead_bytes: int = 65_536
     max_connections: int = 4_000
+    max_held_bytes: int = 268_435_456
 
 
 class RequestRefusedError(Exception):
@@ -68,6 +89,46 @@
     )
 
 
+def no_memory(size: int) -> RequestRefusedError:
+    """Return the error for a body for which there is no memory now."""
+    refusal = state.Refusal(
+        state.Reason.OVERLOADED,
+        state.Verdict.NOT_RUN,
+        f"no memory for a body of {size} bytes at the moment",
+        MEMORY_RETRY_MS,
+    )
+    return RequestRefusedError(refusal, 503)
+
+
+def machine_limits(
+    memory_mb: int | None, max_descriptors: int | None
+) -> ServerLimits:
+    """Return the limits for a machine, the defaults where it has none.
+
+    Parameters
+    ----------
+    memory_mb : int or None
+        Memory of the process, in MB.
+    max_descriptors : int or None
+        Number of descriptors that the process may open.
+    """
+    limits = ServerLimits()
+    connections = [limits.max_connections]
+    held_bytes = limits.max_held_bytes
+    if memory_mb is not None:
+        share_bytes = int(CLIENT_SHARE * memory_mb * BYTES_PER_MB)
+        held_bytes = min(held_bytes, share_bytes)
+        connections.append(share_bytes // CONNECTION_BYTES)
+    if max_descriptors is not None:
+        free = max(1, max_descriptors - RESERVED_DESCRIPTORS)
+        connections.append(int(CONNECTION_SHARE * free))
+    return dataclasses.replace(
+        limits,
+        max_connections=max(1, min(connections)),
+        max_held_bytes=held_bytes,
+    )
+
+
 def too_slow(part: str, timeout_ms: int) -> RequestRefusedError:
     """Return the error for a head or body that misses its timeout."""
     detail = f"request {part} did not arrive in {timeout_ms} ms"
