Take no answer without an identifier for a success

A success must repeat the request's identifier, for requests, items and rewards alike; a failure may lack it, as upstreams that refuse do.

--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -26,6 +26,7 @@
 
 ACCEPTED = 202
 OK = 200
+FIRST_FAILURE = 400
 CONFLICT = 409
 STALE_FENCE = 412
 CALL_TIMEOUT_MS = 1_000
@@ -328,10 +329,14 @@
 ) -> bool:
     """Return whether a response belongs to the request `request_id`.
 
-    It may be a late response to an earlier request. A response without an
-    identifier counts as belonging to the request.
+    It may be a late response to an earlier request, or other bytes that
+    look like one. Upstreams repeat the identifier in all successes; a
+    failure without one counts as belonging to the request.
     """
-    return response.headers.get(names.REQUEST_ID, request_id) == request_id
+    repeated = response.headers.get(names.REQUEST_ID)
+    if repeated is not None:
+        return repeated == request_id
+    return response.status >= FIRST_FAILURE or not request_id
 
 
 def signature(response: http_client.UpstreamResponse) -> str:
