Keep a replaced leader from coming back at once

The delay of 10 s after having been replaced was there, but only set where the watch of the key saw the replacement, not where the renewal of the lease failed first.

--- a/poplarloft/daemon/serving/leadership/leader_election.py
+++ b/poplarloft/daemon/serving/leadership/leader_election.py
@@ -200,6 +200,7 @@
             if snapshot is not None:
                 entry = snapshot.entry
                 if entry is not None and self._was_taken(entry, revision):
+                    self.failover.on_replaced()
                     return False
                 revision = state.ABSENT if entry is None else entry.revision
             await asyncio.sleep(RETRY_MS / MS_PER_S)
