Let a successor order as soon as it is safe

Cause: where engines check no fencing tokens, a successor waited the time between turns after its predecessor's last possible order, 4.8 s in all, also if the predecessor never ordered again.

What must not happen is that a daemon orders again soon after another one. So a daemon now waits for its own last order to be a turn old, and else only until no order of its predecessor can arrive: 1.8 s.

--- a/poplarloft/coordination/serving/leadership/order_lock.py
+++ b/poplarloft/coordination/serving/leadership/order_lock.py
@@ -29,8 +29,8 @@
         Whether engines reject an order whose fencing token is lower than
         one that they have seen.
     turn_ms : int
-        Time that must pass at an engine between orders of two daemons, if
-        it does not check fencing tokens.
+        Time that must pass before a daemon may order again after another
+        one has ordered in between, if engines do not check fencing tokens.
     """
 
     engines_check_fence: bool = True
@@ -84,6 +84,10 @@
     wait, nor does one on the same instance, which has ended. A leader that
     finds the lock with a newer one has been replaced, and ends.
 
+    Two daemons must not order by turns: one that takes the lock from
+    another waits until its own last order is `turn_ms` old. After a start
+    it does not know of that order, and takes it for one of that moment.
+
     Parameters
     ----------
     clock : state.Clock
@@ -105,6 +109,7 @@
         self.fence = 0
         self.renewed_at_ms = 0
         self.not_before_ms = 0
+        self.ordered_until_ms = clock.now_ms() + ARRIVAL_MS
         self.holder: state.OrderHolder | None = None
         self.revision = state.ABSENT
 
@@ -125,6 +130,7 @@
         fence : int
             The leader's fencing token.
         """
+        self._leave()
         self.lease = lease
         self.fence = fence
         self.renewed_at_ms = requested_at_ms
@@ -135,14 +141,22 @@
 
     def end(self) -> None:
         """Send no more orders; leadership is lost or given up."""
+        self._leave()
         self.phase = _Phase.ENDED
 
+    def _leave(self) -> None:
+        """Record how long orders of this daemon may still arrive."""
+        if self.phase is _Phase.HELD:
+            until_ms = self.renewed_at_ms + VALID_MS
+            self.ordered_until_ms = until_ms + ARRIVAL_MS
+
     def release(self) -> WriteHolder | None:
         """End, and return the record that tells a successor not to wait.
 
         Returns None if there is nothing to write.
         """
-        was_held, self.phase = self.is_held, _Phase.ENDED
+        was_held = self.is_held
+        self.end()
         if not was_held or self.rules.engines_check_fence:
             return None
         holder = self._own_record(is_released=True)
@@ -192,8 +206,11 @@
         elif holder == self._own_record():
             # An earlier write was applied without an answer.
             self.phase = _Phase.HELD
-        elif self._needs_no_wait(holder):
+        elif holder is None or holder.name == self.name:
+            self.phase = _Phase.WRITING
+        elif holder.is_released:
             self.phase = _Phase.WRITING
+            self.not_before_ms = self._own_turn_ms()
         else:
             self.phase = _Phase.REVOKING
 
@@ -202,18 +219,16 @@
             self.name, self.lease, is_released, self.fence
         )
 
-    def _needs_no_wait(self, holder: state.OrderHolder | None) -> bool:
-        """Return whether no order of the holder can arrive any more."""
-        if holder is None or holder.is_released:
-            return True
-        return holder.name == self.name
+    def _own_turn_ms(self) -> int:
+        """Return the time from which this daemon may order after others."""
+        return self.ordered_until_ms + self.rules.turn_ms
 
     def on_revoked(self) -> None:
         """Wait out the previous holder, whose lease has ended."""
         if self.phase is not _Phase.REVOKING:
             return
-        wait_ms = VALID_MS + ARRIVAL_MS + self.rules.turn_ms
-        self.not_before_ms = self.clock.now_ms() + wait_ms
+        ended_ms = self.clock.now_ms() + VALID_MS + ARRIVAL_MS
+        self.not_before_ms = max(ended_ms, self._own_turn_ms())
         self.phase = _Phase.WRITING
 
     def on_written(self, status: state.WriteStatus, revision: int) -> None:
