Ask other standbys before taking over

A standby now asks the others how long ago they heard the leader, and takes over once one confirms the silence. One that nobody answers may be the one that is cut off, and waits until the leader's lease has expired. Without other standbys nothing changes.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
+WORKERS ?= 4
 
 .PHONY: demo test check pytest plots clean
 
@@ -20,8 +21,10 @@
 	$(BIN)/lint-imports --no-cache
 	$(BIN)/mypy
 
+# Tests marked `alone` start processes or measure memory: one at a time.
 pytest: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist worksteal -m 'not alone'
+	$(BIN)/python -m pytest -m alone
 
 test: check pytest
 
--- a/poplarloft/coordination/serving/leadership/tests/test_failover.py
+++ b/poplarloft/coordination/serving/leadership/tests/test_failover.py
@@ -119,3 +119,47 @@
     assert detector.has_provisional_leader()
     clock.advance(501)
     assert not detector.has_provisional_leader()
+
+
+def with_others():
+    """Return a preferred standby that knows others, heard 600 ms ago."""
+    clock, detector = following()
+    detector.on_heartbeat(state.Heartbeat(7, "b"))
+    detector.has_others = True
+    clock.advance(600)
+    return clock, detector
+
+
+def test_standby_that_nobody_answers_waits_for_the_lease():
+    clock, detector = with_others()
+    assert detector.should_ask()
+    clock.advance(60_000)
+    assert not detector.should_take_over()
+
+
+def test_standby_takes_over_once_another_confirms_the_silence():
+    _, detector = with_others()
+    detector.on_report("c", 550)
+    assert detector.should_take_over()
+
+
+def test_leader_that_another_standby_hears_has_not_failed():
+    clock, detector = with_others()
+    detector.on_report("c", 80)
+    detector.on_report("d", 900)
+    assert not detector.should_take_over()
+    clock.advance(200)
+    detector.on_report("c", 60)
+    assert not detector.should_take_over()
+    clock.advance(250)
+    detector.on_report("c", 310)
+    assert detector.should_take_over()
+
+
+def test_reports_expire_and_newcomers_know_nothing():
+    clock, detector = with_others()
+    detector.on_report("c", None)
+    assert not detector.should_take_over()
+    detector.on_report("c", 500)
+    clock.advance(700)
+    assert not detector.should_take_over()
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -51,6 +51,7 @@
             settings.region,
             serving.FailoverDetector(self.clock, settings.name),
             self.peers,
+            lambda: self.relay.members,
         )
         self.feed = feed_link.FeedLink(
             self.clock, settings.name, MAX_CHANGE_DELAY_MS, self.peers
--- a/poplarloft/daemon/serving/leadership/leader_election.py
+++ b/poplarloft/daemon/serving/leadership/leader_election.py
@@ -300,6 +300,8 @@
         while True:
             if self.failover.should_take_over():
                 return
+            if self.failover.should_ask():
+                self.link.ask_others()
             await asyncio.sleep(SILENCE_CHECK_INTERVAL_MS / MS_PER_S)
 
     async def _await_replacement(self, fence: int) -> None:
--- a/poplarloft/daemon/serving/leadership/standby.py
+++ b/poplarloft/daemon/serving/leadership/standby.py
@@ -38,6 +38,8 @@
         Receives the heartbeats.
     link : peer_link.PeerLink
         Connections to the other daemons.
+    members : callable
+        Return all daemons by name, empty until they are known.
     """
 
     def __init__(
@@ -47,7 +49,10 @@
         region: str,
         failover: serving.FailoverDetector,
         link: peer_link.PeerLink,
+        members: abc.Callable[[], abc.Mapping[str, state.PeerRecord]],
     ) -> None:
+        self.members = members
+        self.leader_address: state.Address | None = None
         self.clock = clock
         self.name = name
         self.region = region
@@ -85,12 +90,13 @@
     async def subscribe(self, leader: state.LeaderRecord) -> None:
         """Renew a subscription to the leader until cancelled."""
         message = state.Subscribe(self.name, self.link.address, self.region)
+        self.leader_address = leader.address
         try:
             while True:
                 self.link.send(leader.address, message)
                 # Keeps the connections to the other standbys open, so that
-                # `may_start_early` does not wait for them.
-                self._ping()
+                # nobody waits for them once the leader is silent.
+                self.ask_others()
                 await asyncio.sleep(SUBSCRIBE_INTERVAL_MS / MS_PER_S)
         finally:
             self.link.disconnect(leader.address)
@@ -141,7 +147,7 @@
         Without an answer this daemon may be cut off from all others.
         """
         self.pong = asyncio.get_running_loop().create_future()
-        self._ping()
+        self.ask_others()
         try:
             async with asyncio.timeout(PONG_TIMEOUT_MS / MS_PER_S):
                 pong = await self.pong
@@ -149,10 +155,23 @@
             return False
         return not pong.is_running
 
-    def _ping(self) -> None:
-        for address in self.other_standbys:
+    def ask_others(self) -> None:
+        """Ask the other standbys how long ago they heard from the leader."""
+        others = self._others()
+        self.failover.has_others = bool(others)
+        for address in others:
             self.link.send(address, state.Ping(self.link.address))
 
+    def _others(self) -> set[state.Address]:
+        """Return the standbys that the leader or the store has named."""
+        listed = {
+            row.peers
+            for row in self.members().values()
+            if row.issues_permits and row.peers is not None
+        }
+        own = {self.link.address, self.leader_address}
+        return {*listed, *self.other_standbys} - own
+
     def _send_checkpoints(
         self,
         fence: int,
@@ -216,9 +235,12 @@
         self.subscribers[message.name] = (message, self.clock.now_ms())
 
     def _on_ping(self, message: state.Ping) -> None:
-        self.link.send(message.address, state.Pong(self.name, self.is_leading))
+        silent_ms = 0 if self.is_leading else self.failover.silent_ms
+        pong = state.Pong(self.name, self.is_leading, silent_ms)
+        self.link.send(message.address, pong)
 
     def _on_pong(self, message: state.Pong) -> None:
+        self.failover.on_report(message.name, message.silent_ms)
         if self.pong is not None and not self.pong.done():
             self.pong.set_result(message)
 
--- a/poplarloft/state/standby.py
+++ b/poplarloft/state/standby.py
@@ -154,7 +154,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pong:
-    """Answer to a `Ping`; `is_running` is whether its sender runs the lots."""
+    """Answer to a `Ping`.
+
+    Parameters
+    ----------
+    name : str
+        Name of its sender.
+    is_running : bool
+        Whether its sender runs the lots.
+    silent_ms : int or None
+        Time since its sender has heard from the leader, None if it never
+        has.
+    """
 
     name: str
     is_running: bool
+    silent_ms: int | None = None
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,11 +6,15 @@
 import subprocess
 import sys
 
+import pytest
+
 from poplarloft.protocol import documents
 from standins import platform
 from tests import processes
 from tests import test_daemon_process as helpers
 
+pytestmark = pytest.mark.alone
+
 OWNER, OTHER = platform.OWNERS
 
 
--- a/tests/test_daemon_process.py
+++ b/tests/test_daemon_process.py
@@ -15,6 +15,8 @@
 from standins import proxy
 from tests import processes
 
+pytestmark = pytest.mark.alone
+
 MAX_BODY_BYTES = 1_000_000
 OWNER = platform.OWNERS[0]
 TOKEN = platform.caller_token(OWNER)
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -2,8 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from standins import demo
 
+pytestmark = pytest.mark.alone
+
 
 def test_demo_meets_every_guarantee():
     report = asyncio.run(demo.run_demo(1, lambda line: None))
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,6 +4,7 @@
 import time
 
 import msgspec
+import pytest
 
 from poplarloft import coordination
 from poplarloft.protocol import documents
@@ -15,6 +16,8 @@
 from tests import processes
 from tests import test_daemon_process as helpers
 
+pytestmark = pytest.mark.alone
+
 MAX_BODY_BYTES = 1_000_000
 
 OWNER, OTHER = platform.OWNERS
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -5,6 +5,8 @@
 resume from its file, whose last line may be incomplete.
 """
 
+import pytest
+
 from poplarloft import client as rollouts
 from poplarloft import coordination
 from poplarloft import state
@@ -14,6 +16,8 @@
 from tests import processes
 from tests import test_daemon_process as helpers
 
+pytestmark = pytest.mark.alone
+
 GROUPS, PER_GROUP, STEPS, BOUND = 4, 4, 4, 2
 
 
--- a/tests/test_serving_crowds.py
+++ b/tests/test_serving_crowds.py
@@ -15,6 +15,8 @@
 from tests import crowd
 from tests import serving_fleet
 
+pytestmark = pytest.mark.alone
+
 ROOT = pathlib.Path(__file__).parent.parent
 MEMORY_MB = 160  # of the machine that the settings describe
 MAX_DESCRIPTORS = 120
--- a/tests/test_serving_endless_answers.py
+++ b/tests/test_serving_endless_answers.py
@@ -13,6 +13,8 @@
 from tests import endless_upstream
 from tests import serving_fleet
 
+pytestmark = pytest.mark.alone
+
 ROOT = pathlib.Path(__file__).parent.parent
 MAX_GROWTH_BYTES = 64_000_000
 PAGE_BYTES = 4_096
--- a/tests/test_serving_poison.py
+++ b/tests/test_serving_poison.py
@@ -13,6 +13,8 @@
 from poplarloft.daemon.serving.store import store_relay
 from tests import serving_fleet
 
+pytestmark = pytest.mark.alone
+
 MARKER = b"poison"
 POISON_PACE_S = 0.4
 INNOCENT_PACE_S = 0.05
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,8 @@
 from poplarloft_soak import processes
 from poplarloft_soak import world as worlds
 
+pytestmark = pytest.mark.alone
+
 # Seeds that ever failed, each with its cause; kept as regression cases.
 REGRESSION_SEEDS: dict[int, str] = {
     28: "another soak listened on the same port",
