Refuse answers whose status is none

Here h11 refuses 000 to 099 and what is not three digits, but statuses from 600 to 999 were passed on to clients, by all kinds of routes, and a write to the store that was answered so counted as not done.

The client takes statuses over 599 for malformed. A server error of the store other than 503 leaves a write's outcome unknown.

--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -24,6 +24,7 @@
 GONE = 410
 CONFLICT = 412
 TOO_MANY_REQUESTS = 429
+SERVER_ERROR = 500
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504  # a peer that relayed the call got no response
 JSON_HEADERS: tuple[tuple[str, str], ...] = (
@@ -323,9 +324,9 @@
     except protocol_errors.ProtocolError as error:
         return state.WriteAnswer(status.UNKNOWN, detail=str(error))
     detail = f"the store answered {reply.status}"
-    if reply.status == GATEWAY_TIMEOUT:
-        return state.WriteAnswer(status.UNKNOWN, detail=detail)
-    return state.WriteAnswer(status.NOT_DONE, detail=detail)
+    if reply.status < SERVER_ERROR or reply.status == UNAVAILABLE:
+        return state.WriteAnswer(status.NOT_DONE, detail=detail)
+    return state.WriteAnswer(status.UNKNOWN, detail=detail)
 
 
 def _decode_json(body: bytes, shape: type[T]) -> T:
--- a/poplarloft/transport/connections.py
+++ b/poplarloft/transport/connections.py
@@ -13,12 +13,19 @@
 from poplarloft import state
 from poplarloft.transport import counting_reader
 
-__all__ = ["Connection", "open_connection", "read_head", "write_and_read"]
+__all__ = [
+    "Connection",
+    "MalformedHeadError",
+    "open_connection",
+    "read_head",
+    "write_and_read",
+]
 
 READ_BYTES = 16_384
 BUFFER_BYTES = 65_536
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 MAX_HEAD_BYTES = 65_536
+MAX_STATUS = 599  # h11 itself refuses those under 100
 MAX_EVENTS_PER_TURN = 16  # then other tasks of the event loop run
 TURN_PAUSE_S = 0.005
 PROBE_IDLE_S = 1
@@ -30,6 +37,10 @@
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
 
 
+class MalformedHeadError(ConnectionError):
+    """The head of a response can't be that of a response."""
+
+
 class Connection:
     """A client connection and the state of its current exchange.
 
@@ -207,10 +218,16 @@
     ------
     ConnectionResetError
         If the peer closes the connection first.
+    MalformedHeadError
+        If the status is none of HTTP.
     """
     while True:
         event = await connection.next_event()
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise MalformedHeadError(
+                    f"status {event.status_code} is not from 200 to 599"
+                )
             return event
         if isinstance(event, h11.ConnectionClosed):
             raise ConnectionResetError("connection closed before a response")
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -182,6 +182,9 @@
         except TimeoutError:
             kind = FailureKind.TIMEOUT
             detail = f"no response in {timeout_ms} ms"
+        except connections.MalformedHeadError as error:
+            kind = FailureKind.MALFORMED_RESPONSE
+            detail = str(error)
         except OSError as error:
             detail = str(error) or "connection lost"
         except h11.RemoteProtocolError as error:
