Import only what a daemon uses

Cause: the platform's daemons held libraries of the other variant: pydantic and pydantic-settings for 25 settings, and, through packages that re-export all their modules, jinja2, statsd, rfc8785 and uuid6. The resident set after importing the platform's entry point was 56.6 MB.

Ruled out: leaving out eliot (2.2 MB) or prometheus-client (3.2 MB), which logs and metrics need.

--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -86,7 +86,7 @@
         self.regions = settings.region_by_data_centre()
         return [
             name
-            for name in type(settings).model_fields
+            for name in settings.__struct_fields__
             if name not in LIVE_SETTINGS
             and getattr(before, name) != getattr(settings, name)
         ]
--- a/poplarloft/daemon/serving/reloading.py
+++ b/poplarloft/daemon/serving/reloading.py
@@ -64,7 +64,7 @@
         previous = self.daemon.settings
         changed = [
             name
-            for name in type(settings).model_fields
+            for name in settings.__struct_fields__
             if getattr(previous, name) != getattr(settings, name)
         ]
         eliot.log_message(
--- a/poplarloft/protocol/addresses.py
+++ b/poplarloft/protocol/addresses.py
@@ -1,15 +1,12 @@
 """Parsing of IP addresses with ports."""
 
 import ipaddress
-import typing
-
-import pydantic
 
 from poplarloft.protocol import errors
 from poplarloft.protocol import numbers
 from poplarloft import state
 
-__all__ = ["AddressText", "parse_address"]
+__all__ = ["parse_address"]
 
 MAX_PORT = 65_535
 
@@ -38,12 +35,3 @@
             f"port {port_text[:80]!r} is not a number from 0 to {MAX_PORT}"
         )
     return state.Address(str(ip), port)
-
-
-def _check_address(text: str) -> str:
-    """Return `text` if it is an address that can be parsed."""
-    parse_address(text)
-    return text
-
-
-AddressText = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
--- a/poplarloft/protocol/documents.py
+++ b/poplarloft/protocol/documents.py
@@ -11,6 +11,7 @@
 import rfc8785
 
 from poplarloft.protocol import errors
+from poplarloft.protocol import models
 from poplarloft import state
 
 __all__ = [
@@ -220,7 +221,7 @@
     try:
         model = _DOCUMENT.validate_json(data)
     except pydantic.ValidationError as error:
-        raise errors.first_field_error(error) from None
+        raise models.first_field_error(error) from None
     return _document_to_state(model)
 
 
@@ -272,7 +273,7 @@
     try:
         model = HeadModel.model_validate_json(data)
     except pydantic.ValidationError as error:
-        raise errors.first_field_error(error) from None
+        raise models.first_field_error(error) from None
     return state.Configuration(
         model.revision,
         tuple(_document_to_state(d) for d in model.documents),
--- a/poplarloft/protocol/errors.py
+++ b/poplarloft/protocol/errors.py
@@ -4,15 +4,8 @@
 import typing
 
 import msgspec
-import pydantic
 
-__all__ = [
-    "DECODING_ERRORS",
-    "FieldError",
-    "ProtocolError",
-    "decoded",
-    "first_field_error",
-]
+__all__ = ["DECODING_ERRORS", "FieldError", "ProtocolError", "decoded"]
 
 MAX_REASON_CHARS = 200
 T = typing.TypeVar("T")
@@ -66,14 +59,3 @@
     except DECODING_ERRORS as error:
         reason = str(error)[:MAX_REASON_CHARS]
         raise FieldError(field, reason) from error
-
-
-def first_field_error(error: pydantic.ValidationError) -> FieldError:
-    """Return the first error of a failed validation as a `FieldError`."""
-    details = error.errors(include_url=False)[0]
-    field = ".".join(str(part) for part in details["loc"]) or "document"
-    value = details.get("input")
-    reason = details["msg"].removeprefix("Value error, ")
-    if isinstance(value, str | int | float | bool):
-        reason = f"{reason}, got {str(value)[:80]!r}"
-    return FieldError(field, reason)
--- a/poplarloft/protocol/settings.py
+++ b/poplarloft/protocol/settings.py
@@ -7,8 +7,8 @@
 import pydantic_settings
 
 from poplarloft.coordination import routing
-from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
+from poplarloft.protocol import models
 
 __all__ = ["DaemonSettings", "load_settings", "settings_reference"]
 
@@ -37,32 +37,32 @@
     data_centre: Label = pydantic.Field(
         description="Data centre of the instance"
     )
-    listen: addresses.AddressText = pydantic.Field(
+    listen: models.AddressText = pydantic.Field(
         default="127.0.0.1:8080",
         description="IP number and port for callers and operators",
     )
-    peer_listen: addresses.AddressText = pydantic.Field(
+    peer_listen: models.AddressText = pydantic.Field(
         default="127.0.0.1:0",
         description="IP number and port for other daemons",
     )
-    peer_advertise: addresses.AddressText | None = pydantic.Field(
+    peer_advertise: models.AddressText | None = pydantic.Field(
         default=None,
         description="Address announced to other daemons, if it differs",
     )
-    seeds: list[addresses.AddressText] = pydantic.Field(
+    seeds: list[models.AddressText] = pydantic.Field(
         default=[],
         description="Peer addresses of daemons to join, comma-separated",
     )
-    key_value: addresses.AddressText = pydantic.Field(
+    key_value: models.AddressText = pydantic.Field(
         description="IP number and port of the key-value service"
     )
-    instance_list: addresses.AddressText = pydantic.Field(
+    instance_list: models.AddressText = pydantic.Field(
         description="IP number and port of the platform's instance list"
     )
-    weight_store: addresses.AddressText | None = pydantic.Field(
+    weight_store: models.AddressText | None = pydantic.Field(
         default=None, description="IP number and port of the weight store"
     )
-    statsd: addresses.AddressText | None = pydantic.Field(
+    statsd: models.AddressText | None = pydantic.Field(
         default=None, description="IP number and UDP port for metrics"
     )
     data_dir: str | None = pydantic.Field(
@@ -212,7 +212,7 @@
     try:
         return DaemonSettings(_cli_parse_args=list(arguments))  # type: ignore
     except pydantic.ValidationError as error:
-        failure = errors.first_field_error(error)
+        failure = models.first_field_error(error)
         field = failure.field.partition(".")[0]
         raise errors.FieldError(_flag(field), failure.reason) from None
     except pydantic_settings.SettingsError as error:
--- a/poplarloft/transport/__init__.py
+++ b/poplarloft/transport/__init__.py
@@ -1,29 +1,21 @@
 """Sockets and files: HTTP server and client, peers, metrics, logs."""
 
-from poplarloft.transport.disk import AtomicFile
-from poplarloft.transport.errors import TransportFailure
-from poplarloft.transport.http_client import HttpClient
-from poplarloft.transport.http_client import TruncatedResponseError
-from poplarloft.transport.http_client import UpstreamResponse
-from poplarloft.transport.http_server import HttpServer
-from poplarloft.transport.http_server import ServerLimits
-from poplarloft.transport.key_value import HttpKeyValueStore
-from poplarloft.transport.metrics import NoMetrics
-from poplarloft.transport.metrics import StatsdMetrics
-from poplarloft.transport.peers import CurveKeys
-from poplarloft.transport.peers import PeerSockets
+from poplarloft import lazy_exports
 
-__all__ = [
-    "AtomicFile",
-    "CurveKeys",
-    "HttpClient",
-    "HttpKeyValueStore",
-    "HttpServer",
-    "NoMetrics",
-    "PeerSockets",
-    "ServerLimits",
-    "StatsdMetrics",
-    "TransportFailure",
-    "TruncatedResponseError",
-    "UpstreamResponse",
-]
+_MODULE_OF_NAME = {
+    "AtomicFile": "disk",
+    "CurveKeys": "peers",
+    "HttpClient": "http_client",
+    "HttpKeyValueStore": "key_value",
+    "HttpServer": "http_server",
+    "NoMetrics": "metrics",
+    "PeerSockets": "peers",
+    "ServerLimits": "http_server",
+    "StatsdMetrics": "metrics",
+    "TransportFailure": "errors",
+    "TruncatedResponseError": "http_client",
+    "UpstreamResponse": "http_client",
+}
+
+__all__ = list(_MODULE_OF_NAME)
+__getattr__ = lazy_exports.attribute_getter(__name__, _MODULE_OF_NAME)
