--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+import msgspec
 import pytest
 
 from tests import serving_fleet
@@ -76,8 +77,8 @@
 async def test_late_requests_are_refused_unrun(fleet):
     (late,) = await connect(fleet, 1)
     entry = fleet.entries[0]
-    entry.settings = entry.settings.model_copy(
-        update={"drain_notice_ms": 1_600}
+    entry.settings = msgspec.structs.replace(
+        entry.settings, drain_notice_ms=1_600
     )
     stopping = asyncio.create_task(entry.stop())
     await asyncio.sleep(1.55)
