Order engines by what trainers need

Demand is learned from the steps of trainers: work over the mean time between steps, at half of the slots. The cheapest mix of engines that stay and engines that may be reclaimed is ordered so that the loss of all reclaimable ones of any data centre leaves enough; more at once, less after 15 s of lower need, one engine at a time and only while those that serve are enough. A leader that has seen fewer than three steps of each trainer orders nothing. Only services with prices are ordered for.

A configuration with min over max stays out of force, with a line that names both. A data centre without a price gets no order; refusing the configuration for it would keep an old one in force where a service simply does not run there.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -32,6 +32,7 @@
 from poplarloft.coordination.serving.rollouts import EngineId
 from poplarloft.coordination.serving.rollouts import EngineView
 from poplarloft.coordination.serving.rollouts import EventOrderError
+from poplarloft.coordination.serving.rollouts import INITIAL_EVENT_INTERVAL_MS
 from poplarloft.coordination.serving.rollouts import ItemOutput
 from poplarloft.coordination.serving.rollouts import LoadVersion
 from poplarloft.coordination.serving.rollouts import LotPlan
@@ -68,6 +69,7 @@
     "EventOrderError",
     "FailoverDetector",
     "FeedReader",
+    "INITIAL_EVENT_INTERVAL_MS",
     "ItemOutput",
     "KnownLimit",
     "LeaderLocation",
--- a/poplarloft/coordination/serving/rollouts/__init__.py
+++ b/poplarloft/coordination/serving/rollouts/__init__.py
@@ -9,6 +9,9 @@
 )
 from poplarloft.coordination.serving.rollouts.engine_view import EngineId
 from poplarloft.coordination.serving.rollouts.engine_view import EngineView
+from poplarloft.coordination.serving.rollouts.engine_view import (
+    INITIAL_EVENT_INTERVAL_MS,
+)
 from poplarloft.coordination.serving.rollouts.lot_plan import LotPlan
 from poplarloft.coordination.serving.rollouts.outputs import EventOrderError
 from poplarloft.coordination.serving.rollouts.outputs import ItemOutput
@@ -32,6 +35,7 @@
     "EngineId",
     "EngineView",
     "EventOrderError",
+    "INITIAL_EVENT_INTERVAL_MS",
     "ItemOutput",
     "LoadVersion",
     "LotPlan",
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -7,6 +7,7 @@
 from poplarloft.coordination import metering
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import base
+from poplarloft.daemon.serving.capacity import engine_provisioner
 from poplarloft.daemon.serving.fleet import feed_link
 from poplarloft.daemon.serving.leadership import cell_leader
 from poplarloft.daemon.serving.leadership import leader_election
@@ -120,28 +121,38 @@
 
     def _make_leader(self, fence: int) -> cell_leader.CellLeader:
         lots = self._make_scheduler(fence)
-        self.reporter = self._make_reporter(lots)
-        leader_tasks = [] if self.reporter is None else [self.reporter]
+        leader_tasks: list[cell_leader.LeaderTask] = []
+        self.reporter = None
+        address = self.settings.infrastructure
+        if address is not None:
+            client = infrastructure.InfrastructureClient(
+                self.client,
+                addresses.parse_address(address),
+                self.settings.name,
+            )
+            provisioner = engine_provisioner.EngineProvisioner(
+                self.clock, self.views, lots.planner, client, lots
+            )
+            lots.on_planned = provisioner.on_planned
+            leader_tasks.append(provisioner)
+            self.reporter = self._make_reporter(client, lots)
+        if self.reporter is not None:
+            leader_tasks.append(self.reporter)
         return cell_leader.CellLeader(lots, leader_tasks)
 
     def _make_reporter(
-        self, leadership: usage_reporter.Leadership
+        self,
+        client: infrastructure.InfrastructureClient,
+        leadership: usage_reporter.Leadership,
     ) -> usage_reporter.UsageReporter | None:
         """Return what reports usage, None if that is not asked for."""
         rules = self.settings.metering_rules()
-        address = self.settings.infrastructure
-        if rules is None or address is None:
+        if rules is None:
             return None
         clock = state.SteadyWallClock(self.wall_clock, state.BootClock())
+        ledger = metering.WindowLedger(clock, rules)
         return usage_reporter.UsageReporter(
-            self.store,
-            infrastructure.InfrastructureClient(
-                self.client,
-                addresses.parse_address(address),
-                self.settings.name,
-            ),
-            metering.WindowLedger(clock, rules),
-            leadership,
+            self.store, client, ledger, leadership
         )
 
     def _make_scheduler(self, fence: int) -> lot_scheduler.LotScheduler:
--- /dev/null
+++ b/poplarloft/daemon/serving/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity: the leader orders engines."""
--- a/poplarloft/daemon/serving/rollouts/lot_scheduler.py
+++ b/poplarloft/daemon/serving/rollouts/lot_scheduler.py
@@ -29,6 +29,10 @@
 READ_TIMEOUT_MS = 300  # long enough for a store in another region
 
 
+def _ignore(plan: serving.LotPlan) -> None:
+    pass
+
+
 class LotScheduler:
     """Runs all open lots of a cell while this daemon leads.
 
@@ -127,6 +131,7 @@
         self.garbage_collector = garbage_collection.LotGarbageCollector(
             wall_clock, store, retention_ms
         )
+        self.on_planned: abc.Callable[[serving.LotPlan], None] = _ignore
         self.result_writers: dict[str, result_writer.ResultWriter] = {}
         self.ended_lots: set[str] = set()
         self.is_wake_scheduled = False
@@ -322,6 +327,7 @@
                 self.clock.now_ms() - age_ms,
                 writer.log.recorded,
             )
+            self.on_planned(plan)
             for group in plan.groups.values():
                 for output in group:
                     self._resume(output, plan)
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -61,10 +61,21 @@
     models: list[_Model] = []
 
 
+class _Scaling(msgspec.Struct):
+    """Bounds, which hold for each data centre, and prices."""
+
+    min: int
+    max: int
+    boot_s: float
+    zone_prices: dict[str, float]
+    spot_price: float | None = None  # share of the price of others
+
+
 class _Service(msgspec.Struct):
     name: str
     max_conns: int = 100
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -109,6 +120,7 @@
     born: int = 0  # Unix time of the start in milliseconds
     models: list[_LoadedModel] = []
     sequence: int = 0  # number of orders accepted since the start
+    spot: bool = False  # may be taken back at short notice
 
 
 class _Target(msgspec.Struct):
@@ -212,6 +224,7 @@
         {model.name: model.version for model in row.models},
         row.sequence,
         _software_version(row.version),
+        row.spot,
     )
 
 
@@ -249,4 +262,31 @@
     if row.engine is None:
         return state.ServiceInfo(row.name, row.max_conns)
     models = tuple(model.name for model in row.engine.models)
-    return state.ServiceInfo(row.name, row.max_conns, row.engine.slots, models)
+    return state.ServiceInfo(
+        row.name,
+        row.max_conns,
+        row.engine.slots,
+        models,
+        None if row.scaling is None else _scaling(row.name, row.scaling),
+    )
+
+
+def _scaling(service: str, row: _Scaling) -> state.EngineScaling:
+    if not 0 <= row.min <= row.max:
+        raise errors.FieldError(
+            "scaling",
+            f"of {service!r}: min {row.min} and max {row.max}, expected "
+            "0 <= min <= max",
+        )
+    for place, price in row.zone_prices.items():
+        if not 0 <= price < float("inf"):
+            raise errors.FieldError(
+                "scaling", f"of {service!r}: price {price} in {place!r}"
+            )
+    return state.EngineScaling(
+        row.min,
+        row.max,
+        int(row.boot_s * MS_PER_S),
+        row.zone_prices,
+        row.spot_price,
+    )
--- a/poplarloft/state/samplers.py
+++ b/poplarloft/state/samplers.py
@@ -28,6 +28,8 @@
     software_version : str
         Version of its software, empty if unknown. Versions have no order,
         and what two of them generate doesn't fit together.
+    is_reclaimable : bool
+        Whether the platform may take it back at short notice.
     """
 
     name: str
@@ -40,6 +42,7 @@
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
     orders_accepted: int = 0
     software_version: str = ""
+    is_reclaimable: bool = False
 
     @property
     def engine_id(self) -> tuple[str, int]:
--- a/poplarloft/state/serving.py
+++ b/poplarloft/state/serving.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from poplarloft.state import capacity
 from poplarloft.state import client_accounts
 from poplarloft.state import lots
 
@@ -103,12 +104,15 @@
         plain services.
     models : tuple of str
         Models that the engines serve.
+    scaling : capacity.EngineScaling or None
+        How many engines may be ordered; None if none may.
     """
 
     name: str
     max_connections: int
     slots: int | None = None
     models: tuple[str, ...] = ()
+    scaling: capacity.EngineScaling | None = None
 
     @property
     def is_engine(self) -> bool:
