Let a few entries witness the leader's life

Three entries, ranked by rendezvous, get the leader's heartbeats too and answer the standbys' questions. A leader that is cut off from the other bulk daemons, but not from entries, store and engines, stays.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -8,6 +8,7 @@
 from poplarloft.coordination.serving.leadership import LeaderLocation
 from poplarloft.coordination.serving.leadership import OrderLock
 from poplarloft.coordination.serving.leadership import OrderRules
+from poplarloft.coordination.serving.leadership import rank_witnesses
 from poplarloft.coordination.serving.leadership import ReadHolder
 from poplarloft.coordination.serving.leadership import RevokeLease
 from poplarloft.coordination.serving.leadership import WriteHolder
@@ -108,6 +109,7 @@
     "notice_recipients",
     "rank_issuers",
     "rank_services",
+    "rank_witnesses",
     "split_increments",
     "spread_point",
 ]
--- a/poplarloft/coordination/serving/leadership/__init__.py
+++ b/poplarloft/coordination/serving/leadership/__init__.py
@@ -11,6 +11,7 @@
 from poplarloft.coordination.serving.leadership.order_lock import ReadHolder
 from poplarloft.coordination.serving.leadership.order_lock import RevokeLease
 from poplarloft.coordination.serving.leadership.order_lock import WriteHolder
+from poplarloft.coordination.serving.leadership.witnesses import rank_witnesses
 
 __all__ = [
     "FailoverDetector",
@@ -20,4 +21,5 @@
     "ReadHolder",
     "RevokeLease",
     "WriteHolder",
+    "rank_witnesses",
 ]
--- a/poplarloft/coordination/serving/leadership/failover.py
+++ b/poplarloft/coordination/serving/leadership/failover.py
@@ -17,9 +17,10 @@
     """Decide when a standby considers the leader failed and takes over.
 
     A standby that receives no heartbeats for the time-out tries to take
-    over, once another standby confirms that it has not heard from the
-    leader either. A standby that nobody answers may be the one that is cut
-    off; it waits until the leader's lease has expired. A daemon that was
+    over, once another standby or a witness confirms that it has not heard
+    from the leader either, and none of them has. A standby that nobody
+    answers may be the one that is cut off; it waits until the leader's
+    lease has expired. A daemon that was
     itself replaced as leader doesn't take over for `REPLACED_DELAY_MS`, but
     waits for the lease to expire, so that two daemons that merely can't
     reach each other don't replace each other in turn.
@@ -42,7 +43,7 @@
     leader_is_provisional : bool
         Whether the last heartbeat was that of a provisional leader.
     has_others : bool
-        Whether other standbys are known, which can be asked.
+        Whether other standbys or witnesses are known, which can be asked.
     """
 
     def __init__(self, clock: state.Clock, name: str) -> None:
--- a/poplarloft/coordination/serving/leadership/tests/test_failover.py
+++ b/poplarloft/coordination/serving/leadership/tests/test_failover.py
@@ -163,3 +163,24 @@
     detector.on_report("c", 500)
     clock.advance(700)
     assert not detector.should_take_over()
+
+
+def test_witnesses_are_those_that_never_lead():
+    members = {
+        name: state.PeerRecord(
+            state.Address("127.0.0.1", 1),
+            None,
+            state.Address("127.0.0.1", number),
+            issues_permits=name.startswith("bulk"),
+        )
+        for number, name in enumerate(
+            [f"bulk-{n}" for n in range(3)] + [f"entry-{n}" for n in range(9)]
+        )
+    }
+    witnesses = serving.rank_witnesses("bulk-0", members)
+    assert len(witnesses) == 3
+    assert all(address.port >= 3 for address in witnesses)
+    assert serving.rank_witnesses("bulk-0", members) == witnesses
+    del members["entry-0"]
+    kept = set(serving.rank_witnesses("bulk-0", members)) & set(witnesses)
+    assert len(kept) >= 2
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -12,6 +12,7 @@
 from poplarloft.daemon.serving.accounts import account_gate
 from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.leadership import leader_witness
 from poplarloft.daemon.serving.metering import usage_link
 from poplarloft.daemon.serving.requests import crash_guard
 from poplarloft.daemon.serving.requests import crash_news
@@ -70,6 +71,9 @@
             self.guard,
         )
         self.leader_location = serving.LeaderLocation(self.clock)
+        self.witness = leader_witness.LeaderWitness(
+            self.clock, settings.name, self.peers
+        )
         self.usage = usage_link.UsageLink(
             state.SteadyWallClock(self.wall_clock, state.BootClock()),
             settings.name,
--- a/poplarloft/daemon/serving/leadership/standby.py
+++ b/poplarloft/daemon/serving/leadership/standby.py
@@ -52,7 +52,7 @@
         members: abc.Callable[[], abc.Mapping[str, state.PeerRecord]],
     ) -> None:
         self.members = members
-        self.leader_address: state.Address | None = None
+        self.leader: state.LeaderRecord | None = None
         self.clock = clock
         self.name = name
         self.region = region
@@ -90,7 +90,7 @@
     async def subscribe(self, leader: state.LeaderRecord) -> None:
         """Renew a subscription to the leader until cancelled."""
         message = state.Subscribe(self.name, self.link.address, self.region)
-        self.leader_address = leader.address
+        self.leader = leader
         try:
             while True:
                 self.link.send(leader.address, message)
@@ -136,7 +136,8 @@
             addresses = [row.address for row, _ in self.subscribers.values()]
             # Until standbys have subscribed, heartbeats go to those that the
             # previous leader listed, so that they do not take over.
-            for address in addresses or self.other_standbys:
+            witnesses = serving.rank_witnesses(self.name, self.members())
+            for address in (*(addresses or self.other_standbys), *witnesses):
                 self.link.send(address, state.Heartbeat(fence(), preferred))
             self._send_checkpoints(fence(), outputs, tuple(addresses))
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / MS_PER_S)
@@ -156,21 +157,25 @@
         return not pong.is_running
 
     def ask_others(self) -> None:
-        """Ask the other standbys how long ago they heard from the leader."""
+        """Ask others how long ago they heard from the leader."""
         others = self._others()
         self.failover.has_others = bool(others)
         for address in others:
             self.link.send(address, state.Ping(self.link.address))
 
     def _others(self) -> set[state.Address]:
-        """Return the standbys that the leader or the store has named."""
-        listed = {
+        """Return the other standbys and the leader's witnesses."""
+        members = self.members()
+        others = {
             row.peers
-            for row in self.members().values()
+            for row in members.values()
             if row.issues_permits and row.peers is not None
         }
-        own = {self.link.address, self.leader_address}
-        return {*listed, *self.other_standbys} - own
+        others |= {*self.other_standbys}
+        if self.leader is not None:
+            others |= {*serving.rank_witnesses(self.leader.name, members)}
+            others.discard(self.leader.address)
+        return others - {self.link.address}
 
     def _send_checkpoints(
         self,
