Weigh held prefixes against waits

The leader remembers which shared parts of prompts it has sent to which engine, discounts them by age, bounds them by the engine's memory and forgets them with new weights. Choosing an engine, the time to read what is missing, and what that evicts, is weighed with pace, load and distance.

On the new deployments a shared part of 1,000 tokens is read in 2.5 to 4.5 ms, while an event takes 46 ms: the weighing moves few items.

--- a/poplarloft/coordination/serving/rollouts/__init__.py
+++ b/poplarloft/coordination/serving/rollouts/__init__.py
@@ -21,6 +21,7 @@
 from poplarloft.coordination.serving.rollouts.outputs import Stage
 from poplarloft.coordination.serving.rollouts.planning import Planner
 from poplarloft.coordination.serving.rollouts.planning import StartItem
+from poplarloft.coordination.serving.rollouts.prefixes import PrefixMemory
 from poplarloft.coordination.serving.rollouts.result_log import ReadBatch
 from poplarloft.coordination.serving.rollouts.result_log import ResultLog
 from poplarloft.coordination.serving.rollouts.result_log import WriteBatch
@@ -41,6 +42,7 @@
     "LotPlan",
     "OutputTooLargeError",
     "Planner",
+    "PrefixMemory",
     "ReadBatch",
     "ResultLog",
     "Stage",
--- a/poplarloft/coordination/serving/rollouts/planning.py
+++ b/poplarloft/coordination/serving/rollouts/planning.py
@@ -5,6 +5,7 @@
 import itertools
 
 from poplarloft.coordination.serving.rollouts import checkpoints
+from poplarloft.coordination.serving.rollouts import engine_cost
 from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft.coordination.serving.rollouts import lot_plan
 from poplarloft.coordination.serving.rollouts import outputs
@@ -16,7 +17,6 @@
 # A move costs a prefill, the wait for a slot and two network trips.
 MIN_MOVE_GAIN_MS = 1_000.0
 MOVE_INTERVAL_RATIO = 0.9
-OTHER_REGION_COST_MS = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +71,7 @@
         ] = _unlimited,
     ) -> None:
         self.clock = clock
-        self.is_near = is_near
+        self.costs = engine_cost.EngineCost(clock, is_near)
         self.rate_of = rate_of
         self.lots: dict[str, lot_plan.LotPlan] = {}
         self.engines: dict[engine_view.EngineId, engine_view.EngineView] = {}
@@ -170,6 +170,7 @@
                 )
             else:
                 view.sampler = sampler
+        self.costs.prefixes.keep_only(set(available))
         self.usable = set(available)
         self.usable_services = {s.service for s in available.values()}
         for engine_id, view in self.engines.items():
@@ -183,6 +184,7 @@
         if configuration is self.configuration:
             return
         self.configuration = configuration
+        self.costs.prefixes.on_services(configuration)
         now_ms = self.clock.now_ms()
         for plan in self.lots.values():
             plan.update_route(configuration, now_ms)
@@ -221,6 +223,8 @@
             if not output.may_continue_at(view.sampler):
                 output.restart()
             output.stage = outputs.Stage.RUNNING
+            model = plan.lot.model
+            self.costs.prefixes.on_read(view.sampler, model, output.item)
             run_id = next(self.run_ids)
             view.running.add(run_id)
             if view.limit_per_s is not None:
@@ -315,7 +319,7 @@
             return None
         return min(
             fitting or candidates,
-            key=lambda v: self._cost_ms(v, output, now_ms),
+            key=lambda v: self.costs.cost_ms(v, output, plan.lot.model),
             default=None,
         )
 
@@ -376,22 +380,3 @@
             and model not in view.loading
             and view.versions.get(model, 0) >= plan.lot.min_version
         ]
-
-    def _cost_ms(
-        self,
-        view: engine_view.EngineView,
-        output: outputs.ItemOutput,
-        now_ms: int,
-    ) -> float:
-        cost_ms = output.remaining_events() * view.event_interval_ms
-        share = len(view.running) / max(1, view.sampler.slots)
-        # 20 % more if as many outputs run as the engine has slots
-        cost_ms *= 1 + 0.2 * share
-        cost_ms += view.permit_wait_ms()
-        if not self.is_near(view.sampler.data_centre):
-            cost_ms += OTHER_REGION_COST_MS
-        if now_ms - view.failed_at_ms < engine_view.FAILED_ENGINE_MS:
-            cost_ms += engine_view.FAILED_ENGINE_MS
-        if view.sampler.name == output.avoided_engine:
-            cost_ms += engine_view.FAILED_ENGINE_MS
-        return cost_ms
--- a/poplarloft/daemon/serving/rollouts/weights.py
+++ b/poplarloft/daemon/serving/rollouts/weights.py
@@ -140,6 +140,10 @@
             # The connection is closed, so the order can't arrive later.
             self.orders_accepted.pop(engine_id, None)
             return False
+        if answer.is_accepted:
+            self.item_planner.costs.prefixes.on_weights(
+                engine_id, target.model
+            )
         if answer.status == samplers.ACCEPTED:
             self.orders_accepted[engine_id] += 1
             await asyncio.sleep(FIRST_POLL_DELAY_MS / MS_PER_S)
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -59,6 +59,7 @@
 class _Engine(msgspec.Struct):
     slots: int
     models: list[_Model] = []
+    kv_capacity: int | None = None  # tokens that its memory holds
 
 
 class _Scaling(msgspec.Struct):
@@ -268,6 +269,7 @@
         row.engine.slots,
         models,
         None if row.scaling is None else _scaling(row.name, row.scaling),
+        row.engine.kv_capacity,
     )
 
 
--- a/poplarloft/platform/lots.py
+++ b/poplarloft/platform/lots.py
@@ -119,9 +119,22 @@
         numbers.parse_count(counts[0]) or 0,
         numbers.parse_count(hint),
         _reward(row.scorer),
+        _shared_parts(headers.get(names.PROMPT_PARTS, "")),
     )
 
 
+def _shared_parts(text: str) -> tuple[state.PromptPart, ...]:
+    """Return all parts of a prompt but the last; none if unreadable."""
+    parts = []
+    for row in text.split(",")[:-1]:
+        part_id, _, digits = row.strip().partition(":")
+        tokens = numbers.parse_count(digits)
+        if not part_id or tokens is None:
+            return ()
+        parts.append(state.PromptPart(part_id, tokens))
+    return tuple(parts)
+
+
 def _reward(row: _Scorer | None) -> state.RewardCall | None:
     if row is None:
         return None
--- a/poplarloft/platform/names.py
+++ b/poplarloft/platform/names.py
@@ -31,6 +31,7 @@
 VERSION = "x-weight-versions"
 LENGTH_HINT = "x-length-hint"
 TOKEN_COUNTS = "x-token-counts"
+PROMPT_PARTS = "x-prompt-prefix"
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"  # the attempt that brought a stream's first event
 RETRY_AFTER = "retry-after"
--- a/poplarloft/state/__init__.py
+++ b/poplarloft/state/__init__.py
@@ -55,6 +55,7 @@
 from poplarloft.state.lots import LotItem
 from poplarloft.state.lots import LotRecord
 from poplarloft.state.lots import LotResult
+from poplarloft.state.lots import PromptPart
 from poplarloft.state.lots import ResultPage
 from poplarloft.state.lots import RewardCall
 from poplarloft.state.membership import MemberRecord
@@ -207,6 +208,7 @@
     "PermitRequest",
     "Ping",
     "Pong",
+    "PromptPart",
     "ProbeOutcome",
     "Proposal",
     "ProposalState",
--- a/poplarloft/state/lots.py
+++ b/poplarloft/state/lots.py
@@ -18,6 +18,7 @@
     "LotItem",
     "LotRecord",
     "LotResult",
+    "PromptPart",
     "ResultPage",
     "RewardCall",
 ]
@@ -53,6 +54,14 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt, which other prompts may begin with as well."""
+
+    id: str
+    tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LotItem:
     """One sample to generate.
@@ -78,6 +87,9 @@
         The caller's estimate of the number of output tokens.
     reward : RewardCall or None
         Request that scores the output, if it is to be scored.
+    shared_parts : tuple of PromptPart
+        The parts of the prompt, in order, without the last one, which no
+        other prompt has.
     """
 
     id: str
@@ -89,6 +101,7 @@
     prompt_tokens: int = 0
     length_hint: int | None = None
     reward: RewardCall | None = None
+    shared_parts: tuple[PromptPart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarloft/state/serving.py
+++ b/poplarloft/state/serving.py
@@ -104,6 +104,8 @@
         plain services.
     models : tuple of str
         Models that the engines serve.
+    memory_tokens : int or None
+        Tokens that an engine's memory holds; None if that is not known.
     scaling : capacity.EngineScaling or None
         How many engines may be ordered; None if none may.
     """
@@ -113,6 +115,7 @@
     slots: int | None = None
     models: tuple[str, ...] = ()
     scaling: capacity.EngineScaling | None = None
+    memory_tokens: int | None = None
 
     @property
     def is_engine(self) -> bool:
