--- a/poplarloft/coordination/serving/leadership/failover.py
+++ b/poplarloft/coordination/serving/leadership/failover.py
@@ -20,10 +20,10 @@
     over, once another standby or a witness confirms that it has not heard
     from the leader either, and none of them has. A standby that nobody
     answers may be the one that is cut off; it waits until the leader's
-    lease has expired. A daemon that was
-    itself replaced as leader doesn't take over for `REPLACED_DELAY_MS`, but
-    waits for the lease to expire, so that two daemons that merely can't
-    reach each other don't replace each other in turn.
+    lease has expired. A daemon that was itself replaced as leader doesn't
+    take over for `REPLACED_DELAY_MS`, but waits for the lease to expire, so
+    that two daemons that merely can't reach each other don't replace each
+    other in turn.
 
     A provisional leader runs lots before the store has confirmed its
     leadership. Until then its fencing token is 0.
