Don't order engines by an assumed pace

Cause: steps kept the time that their items would take, worked out when the lot came. Before any engine was measured that was 50 ms an event; the test's engines need 5. A leader that ordered at its third to fifth step wanted up to 27 engines of 8, and where all are needed none may be reclaimable, so no order on spot came; the need then held for 15 s.

Change: a step keeps its events; the pace is applied when the need is asked for, and nothing is ordered before one engine of the service is measured.

--- a/poplarloft/coordination/capacity/demand.py
+++ b/poplarloft/coordination/capacity/demand.py
@@ -25,14 +25,14 @@
         The service whose engines generate the lot.
     accepted_at_ms : int
         Time at which the lot was accepted.
-    work_ms : float
-        Time for which its items take a slot, all together.
+    events : float
+        Events that its items generate together, as expected.
     """
 
     trainer: str
     service: str
     accepted_at_ms: int
-    work_ms: float
+    events: float
 
 
 class DemandMeter:
@@ -66,8 +66,18 @@
             len(steps) >= MIN_STEPS for steps in trainers
         )
 
-    def busy_slots(self, service: str) -> float:
-        """Return the slots that trainers keep busy on average."""
+    def busy_slots(self, service: str, event_interval_ms: float) -> float:
+        """Return the slots that trainers keep busy on average.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        event_interval_ms : float
+            Measured time between two events of an output. It isn't kept
+            with a step, since the first ones are asked for before any
+            engine has been measured.
+        """
         now_ms = self.clock.now_ms()
         total = 0.0
         for steps in self.steps.values():
@@ -77,8 +87,8 @@
             silent_ms = now_ms - steps[-1].accepted_at_ms
             if silent_ms > ACTIVE_INTERVALS * cadence_ms:
                 continue
-            work_ms = statistics.fmean(step.work_ms for step in steps)
-            total += work_ms / cadence_ms
+            events = statistics.fmean(step.events for step in steps)
+            total += events * event_interval_ms / cadence_ms
         return total
 
 
--- a/poplarloft/daemon/serving/capacity/engine_provisioner.py
+++ b/poplarloft/daemon/serving/capacity/engine_provisioner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import statistics
 
 import eliot
 
@@ -61,7 +62,7 @@
         while True:
             await asyncio.sleep(INTERVAL_MS / MS_PER_S)
             for service in self._scaled_services():
-                await self._order(service)
+                await self.order(service)
 
     def _scaled_services(self) -> list[state.ServiceInfo]:
         configuration = self.views.operator.configuration
@@ -86,30 +87,37 @@
                 f"{lot.account}/{plan.route.name}/{lot.model}",
                 plan.route.targets[0].service,
                 plan.accepted_at_ms,
-                events * self._event_interval_ms(),
+                events,
             )
         )
 
-    def _event_interval_ms(self) -> float:
-        views = self.item_planner.engines.values()
-        measured = [v.event_interval_ms for v in views if v.has_interval]
-        if not measured:
-            return serving.INITIAL_EVENT_INTERVAL_MS
-        return sum(measured) / len(measured)
+    def _busy_slots(self, service: str) -> float | None:
+        """Return the slots in use on average; None while that is unknown."""
+        interval_ms = self._event_interval_ms(service)
+        if interval_ms is None or not self.meter.is_known(service):
+            return None
+        return self.meter.busy_slots(service, interval_ms)
+
+    def _event_interval_ms(self, service: str) -> float | None:
+        """Return the mean pace of engines, None if none was measured."""
+        measured = [
+            view.event_interval_ms
+            for view in self.item_planner.engines.values()
+            if view.has_interval and view.sampler.service == service
+        ]
+        return statistics.fmean(measured) if measured else None
 
-    async def _order(self, service: state.ServiceInfo) -> None:
+    async def order(self, service: state.ServiceInfo) -> None:
+        """Order what one service needs now."""
         assert service.scaling is not None
         planner = self.planners.get(service.name)
         if planner is None:
             planner = capacity.CapacityPlanner(self.clock, service.name)
             self.planners[service.name] = planner
-        busy_slots = None
-        if self.meter.is_known(service.name):
-            busy_slots = self.meter.busy_slots(service.name)
         planner.update(
             service.scaling,
             self._ready(service.name),
-            busy_slots,
+            self._busy_slots(service.name),
             service.slots or 1,
         )
         for order in planner.next_orders():
