Ask for an engine's run before an output goes on there

Cause: an output went on at an engine as long as its announcement named the run that had begun it.

Change: before an output goes on, and before a start after a lost connection, the generator asks the engine for its run. If another run answers, here or for a client's stream, the announced one is taken out of use until the other is announced. New items without a loss cost no probe.

--- a/poplarloft/coordination/serving/requests/registry.py
+++ b/poplarloft/coordination/serving/requests/registry.py
@@ -30,6 +30,10 @@
     announced, for as long as it may be heard of. If no other upstream of its
     service is left, it may be used for `last_use_ms` more.
 
+    A run whose name and address another run has taken gets no requests: what
+    its announcement says, such as the version of its software, doesn't hold
+    for the other one, which is used once it is announced itself.
+
     Parameters
     ----------
     clock : state.Clock
@@ -43,6 +47,7 @@
         self.clock = clock
         self.last_use_ms = last_use_ms
         self.leaving_since_ms: dict[tuple[str, int], int] = {}
+        self.replaced: set[tuple[str, int]] = set()
         self.known: dict[str, state.Sampler] = {}
         self.expired: dict[str, _Expired] = {}
         self.available_since_ms: int | None = None
@@ -87,6 +92,11 @@
         self.leaving_since_ms[engine_id] = now_ms
         return True
 
+    def on_replaced(self, engine_id: tuple[str, int]) -> None:
+        """Record that another run answers in the place of a run."""
+        self.replaced &= self.engine_ids()
+        self.replaced.add(engine_id)
+
     def keep_only(self, names: set[str]) -> list[str]:
         """Remove the upstreams that a complete listing lacks; return them."""
         missing = [name for name in self.known if name not in names]
@@ -106,7 +116,9 @@
         announced = [
             sampler
             for sampler in candidates
-            if sampler.service == service and not sampler.is_leaving
+            if sampler.service == service
+            and not sampler.is_leaving
+            and sampler.engine_id not in self.replaced
         ]
         if not self.leaving_since_ms:
             return announced
--- a/poplarloft/coordination/serving/requests/tests/test_registry.py
+++ b/poplarloft/coordination/serving/requests/tests/test_registry.py
@@ -60,3 +60,13 @@
     registry.announce(sampler("b"))
     assert registry.keep_only({"b"}) == ["a"]
     assert [s.name for s in registry.of_service("pool")] == ["b"]
+
+
+def test_a_run_that_was_replaced_gets_nothing_until_the_other_is_announced():
+    _, registry = made()
+    registry.on_replaced(registry.known["a"].engine_id)
+    assert registry.of_service("pool") == []
+    registry.announce(sampler())  # a late announcement of the earlier run
+    assert registry.of_service("pool") == []
+    registry.announce(sampler(born_ms=2))
+    assert [s.born_ms for s in registry.of_service("pool")] == [2]
--- a/poplarloft/daemon/serving/requests/upstream_choice.py
+++ b/poplarloft/daemon/serving/requests/upstream_choice.py
@@ -62,6 +62,8 @@
         outcome = await self.client.probe(sampler)
         if outcome in SAME_RUN:
             return True
+        if outcome is state.ProbeOutcome.OTHER_RUN:
+            self.registry.on_replaced(sampler.engine_id)
         eliot.log_message(
             "attempt-failed",
             request=request_id,
--- a/poplarloft/daemon/serving/rollouts/generation.py
+++ b/poplarloft/daemon/serving/rollouts/generation.py
@@ -24,6 +24,7 @@
 RETRY_MS = 100
 PERMIT_WAIT_MS = 1_000
 UNPROCESSABLE = 422
+KNOWN_RUN = (state.ProbeOutcome.SAME_RUN, state.ProbeOutcome.ANSWERED)
 OK = 200
 
 
@@ -70,12 +71,17 @@
     pass
 
 
+def _ignore_run(sampler: state.Sampler) -> None:
+    pass
+
+
 class OutputGenerator:
     """Runs the generation of outputs, at most one run per item.
 
     The callbacks `on_complete` and `on_failed` are called with an output
     when its run has completed it or failed it permanently; `on_end` is
-    called after each run.
+    called after each run, and `on_replaced` with an engine at whose address
+    another run answers.
 
     Parameters
     ----------
@@ -108,6 +114,7 @@
         self.on_complete: abc.Callable[[serving.ItemOutput], None] = _ignore
         self.on_failed: abc.Callable[[serving.ItemOutput], None] = _ignore
         self.on_end: abc.Callable[[], None] = _do_nothing
+        self.on_replaced: abc.Callable[[state.Sampler], None] = _ignore_run
 
     def start(self, start: serving.StartItem) -> None:
         """Start a run that the planner decided on; cancel an earlier one."""
@@ -217,6 +224,8 @@
         await self._await_permit(run)
         if not self.planner.may_start_at(plan, output, run.view.sampler):
             raise _Stopped("the engine may not be used", is_engine_fault=False)
+        if output.events or run.view.losses:
+            await self._check_run(run)
         output.begin_run(run.view.sampler)
         left_ms = (
             plan.accepted_at_ms + plan.route.item_ttl_ms - self.clock.now_ms()
@@ -242,6 +251,20 @@
                     is_connection_lost=True,
                 )
 
+    async def _check_run(self, run: _Run) -> None:
+        """Raise `_Stopped` unless the engine still is the announced run.
+
+        A run that has taken its place may have another software version,
+        and doesn't go on with what the earlier one began.
+        """
+        sampler = run.view.sampler
+        outcome = await self.client.probe(sampler)
+        if outcome is state.ProbeOutcome.OTHER_RUN:
+            self.on_replaced(sampler)
+            raise _Stopped("another run is at its address", False)
+        if outcome not in KNOWN_RUN:
+            raise _Stopped(f"unsure of its run: {outcome.value}")
+
     async def _await_permit(self, run: _Run) -> None:
         """Wait until the engine may get the run, or raise `_Stopped`."""
         view = run.view
--- a/poplarloft/daemon/serving/rollouts/lot_scheduler.py
+++ b/poplarloft/daemon/serving/rollouts/lot_scheduler.py
@@ -119,6 +119,7 @@
         self.generator.on_complete = self._on_complete
         self.generator.on_failed = self._on_result
         self.generator.on_end = self.wake
+        self.generator.on_replaced = self.sampler_view.on_replaced
         self.weights = weights.WeightUpdater(
             clock,
             sampler_client,
--- a/poplarloft/daemon/serving/store/view.py
+++ b/poplarloft/daemon/serving/store/view.py
@@ -244,6 +244,16 @@
             self._notify_listeners()
         return is_news
 
+    def on_replaced(self, sampler: state.Sampler) -> None:
+        """Record that another run answers in the place of an upstream."""
+        self.registry.on_replaced(sampler.engine_id)
+        eliot.log_message(
+            "upstream-replaced",
+            upstream=sampler.name,
+            born_ms=sampler.born_ms,
+        )
+        self._notify_listeners()
+
     def on_store_unavailable(self) -> None:
         """Delay the effect of removals around the outage."""
         self.registry.on_store_unavailable()
