Rank items by the cadence of their trainer

Cause: items ranked by the time at which their lot was accepted, so the lots of a trainer that was delayed once ranked later than those of others from then on; items of groups beyond those a trainer waits for ranked like all.

Change: StepSchedule learns the cadence of each trainer from its steps; a lot ranks by the time at which its step should have been asked for, at most two cadences earlier. Groups to spare rank one step later. The order of waiting items is a module of its own, urgency.

--- a/poplarloft/coordination/serving/rollouts/lot_plan.py
+++ b/poplarloft/coordination/serving/rollouts/lot_plan.py
@@ -1,6 +1,7 @@
 """The outputs of an open lot."""
 
 import dataclasses
+import math
 
 from poplarloft.coordination.serving.requests import service_shares
 from poplarloft.coordination.serving.rollouts import outputs
@@ -22,6 +23,9 @@
         The route of the lot, as last configured.
     unrouted_since_ms : int or None
         Since when the configuration has had no route for the lot.
+    scheduled_at_ms : int
+        Time at which the lot should have been submitted by the cadence of
+        its trainer.
     """
 
     lot: state.Lot
@@ -30,11 +34,23 @@
     groups: dict[str, list[outputs.ItemOutput]]
     is_ended: bool = False
     unrouted_since_ms: int | None = None
+    scheduled_at_ms: int = dataclasses.field(init=False)
     ranked: dict[str, tuple[str, ...]] = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.scheduled_at_ms = self.accepted_at_ms
         self._rank_services()
 
+    @property
+    def lag_ms(self) -> int:
+        """How far the lot was behind the cadence of its trainer."""
+        return self.accepted_at_ms - self.scheduled_at_ms
+
+    @property
+    def trainer(self) -> str:
+        """Identifies the trainer, the same for all its lots."""
+        return f"{self.lot.account}/{self.route.name}/{self.lot.model}"
+
     def update_route(
         self, configuration: state.ServingConfiguration, now_ms: int
     ) -> None:
@@ -82,6 +98,10 @@
             if any(output.stage not in finished for output in group)
         ]
 
+    def groups_by_remaining(self) -> list[list[outputs.ItemOutput]]:
+        """Return the groups, those that can be complete soonest first."""
+        return sorted(self.groups.values(), key=_remaining_events)
+
     def should_write_now(self, now_ms: int) -> bool:
         """Return whether finished results should be written at once.
 
@@ -122,3 +142,17 @@
     def _is_unrouted(self, now_ms: int) -> bool:
         since_ms = self.unrouted_since_ms
         return since_ms is not None and now_ms - since_ms >= UNROUTED_GRACE_MS
+
+
+def _remaining_events(group: list[outputs.ItemOutput]) -> float:
+    """Return the longest remaining output; a failed one is never complete."""
+    if any(output.stage is outputs.Stage.FAILED for output in group):
+        return math.inf
+    return max(
+        (
+            output.remaining_events()
+            for output in group
+            if output.stage in (outputs.Stage.WAITING, outputs.Stage.RUNNING)
+        ),
+        default=0.0,
+    )
--- a/poplarloft/coordination/serving/rollouts/planning.py
+++ b/poplarloft/coordination/serving/rollouts/planning.py
@@ -9,11 +9,12 @@
 from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft.coordination.serving.rollouts import lot_plan
 from poplarloft.coordination.serving.rollouts import outputs
+from poplarloft.coordination.serving.rollouts import step_schedule
+from poplarloft.coordination.serving.rollouts import urgency
 from poplarloft import state
 
 __all__ = ["Planner", "StartItem"]
 
-STEP_TARGET_MS = 4_000
 # A move costs a prefill, the wait for a slot and two network trips.
 MIN_MOVE_GAIN_MS = 1_000.0
 MOVE_INTERVAL_RATIO = 0.9
@@ -39,8 +40,7 @@
 class Planner:
     """Assign waiting items to free slots of engines.
 
-    Items with the least slack go first: those whose predicted end is
-    furthest past the time at which their step should end.
+    The most urgent items go first, see `urgency`.
 
     Parameters
     ----------
@@ -80,6 +80,7 @@
         self.usable: set[engine_view.EngineId] = set()
         self.usable_services: set[str] = set()
         self.configuration: state.ServingConfiguration | None = None
+        self.schedule = step_schedule.StepSchedule()
         self.run_ids = itertools.count(1)
 
     def add_lot(
@@ -101,6 +102,9 @@
             output = self._reuse_or_create_output(lot, route, item)
             groups.setdefault(item.group, []).append(output)
         plan = lot_plan.LotPlan(lot, route, accepted_at_ms, groups)
+        plan.scheduled_at_ms = self.schedule.on_step(
+            plan.trainer, lot.step, accepted_at_ms
+        )
         self.lots[lot.id] = plan
         return plan
 
@@ -202,19 +206,11 @@
     def next_starts(self) -> list[StartItem]:
         """Return the items to start now, most urgent first."""
         now_ms = self.clock.now_ms()
-        waiting = [
-            (self._slack_ms(plan, output), plan, output)
-            for plan in self.lots.values()
-            for group in plan.groups.values()
-            for output in group
-            if output.stage is outputs.Stage.WAITING
-            and output.not_before_ms <= now_ms
-        ]
-        waiting.sort(key=lambda row: row[0])
         starts = []
         is_any_free = self._is_any_free(now_ms)
-        for _, plan, output in waiting:
-            # An output that has begun may start to wait for its version.
+        for plan, output in urgency.waiting_outputs(
+            self.lots.values(), now_ms, is_any_free
+        ):
             if not is_any_free and not output.events:
                 continue
             view = self._best_engine(plan, output)
@@ -300,15 +296,6 @@
         output.item = item
         return output
 
-    def _slack_ms(
-        self, plan: lot_plan.LotPlan, output: outputs.ItemOutput
-    ) -> float:
-        target_ms = plan.accepted_at_ms + STEP_TARGET_MS
-        return (
-            target_ms
-            - output.remaining_events() * engine_view.INITIAL_EVENT_INTERVAL_MS
-        )
-
     def _best_engine(
         self, plan: lot_plan.LotPlan, output: outputs.ItemOutput
     ) -> engine_view.EngineView | None:
--- a/poplarloft/daemon/serving/capacity/engine_provisioner.py
+++ b/poplarloft/daemon/serving/capacity/engine_provisioner.py
@@ -81,10 +81,9 @@
             for group in plan.groups.values()
             for output in group
         )
-        lot = plan.lot
         self.meter.on_step(
             capacity.Step(
-                f"{lot.account}/{plan.route.name}/{lot.model}",
+                plan.trainer,
                 plan.route.targets[0].service,
                 plan.accepted_at_ms,
                 events,
--- a/poplarloft/daemon/serving/capacity/tests/test_engine_provisioner.py
+++ b/poplarloft/daemon/serving/capacity/tests/test_engine_provisioner.py
@@ -77,10 +77,8 @@
         output = types.SimpleNamespace(remaining_events=lambda: EVENTS)
         for _ in range(steps):
             plan = types.SimpleNamespace(
-                lot=types.SimpleNamespace(account="x", model="m"),
-                route=types.SimpleNamespace(
-                    name="lots", targets=(state.Target("pool"),)
-                ),
+                trainer="x/lots/m",
+                route=types.SimpleNamespace(targets=(state.Target("pool"),)),
                 accepted_at_ms=self.clock.now_ms(),
                 groups={"g": [output] * 8},
             )
--- a/poplarloft/daemon/serving/rollouts/lot_scheduler.py
+++ b/poplarloft/daemon/serving/rollouts/lot_scheduler.py
@@ -328,6 +328,8 @@
                 self.clock.now_ms() - age_ms,
                 writer.log.recorded,
             )
+            if plan.lag_ms:
+                eliot.log_message("lot-behind", lot=lot_id, lag_ms=plan.lag_ms)
             self.on_planned(plan)
             for group in plan.groups.values():
                 for output in group:
