Check a configuration of serving before it is sent

Exit codes 0, 1 for problems, 2 for what instances would refuse, 3 for a store that can't be read.

Tests: each problem and difference without a network, the command with files and with a stand-in of the store.

--- a/poplarloft/cli/base.py
+++ b/poplarloft/cli/base.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "EXIT_BAD_INPUT",
+    "EXIT_FINDINGS",
     "EXIT_REFUSED",
     "EXIT_MAY_HAVE_RUN",
     "DaemonCommand",
@@ -23,6 +24,8 @@
     "read_document",
 ]
 
+# Something was found that the command looks for.
+EXIT_FINDINGS = 1
 EXIT_BAD_INPUT = 2
 # The call had no effect.
 EXIT_REFUSED = 3
--- a/poplarloft/cli/commands.py
+++ b/poplarloft/cli/commands.py
@@ -13,6 +13,7 @@
 from poplarloft.cli import explain_command
 from poplarloft.cli import key_commands
 from poplarloft.cli import quarantine_commands
+from poplarloft.cli import serving_commands
 from poplarloft.cli import usage_commands
 from poplarloft.protocol import settings
 from poplarloft import state
@@ -153,6 +154,7 @@
     *config_commands.CONFIG_COMMANDS,
     *key_commands.KEY_COMMANDS,
     *quarantine_commands.QUARANTINE_COMMANDS,
+    *serving_commands.SERVING_COMMANDS,
     *usage_commands.USAGE_COMMANDS,
     Demo,
     Drain,
--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -16,6 +16,7 @@
     "decode_sampler",
     "decode_weights_target",
     "encode_retirement",
+    "find_unread",
 ]
 
 MS_PER_S = 1_000
@@ -137,6 +138,52 @@
     return errors.decoded("configuration", lambda: _configuration(value))
 
 
+def find_unread(value: bytes) -> list[tuple[str, str]]:
+    """Return the place and name of what no instance reads.
+
+    These are fields under other names, and routes of other kinds. Raises
+    `FieldError` like `decode_configuration`.
+    """
+    document = errors.decoded(
+        "configuration",
+        lambda: msgspec.json.decode(value, type=_Configuration),
+    )
+    unread = [
+        (f"routes.{row.name}", f"kind {row.kind!r}")
+        for row in document.routes
+        if row.kind not in KINDS
+    ]
+    return unread + _unread_fields(msgspec.json.decode(value), document, "")
+
+
+def _unread_fields(
+    raw: typing.Any, decoded: typing.Any, place: str
+) -> list[tuple[str, str]]:
+    """Return the fields of `raw` that `decoded` lacks, with those inside."""
+    if isinstance(decoded, list):
+        return [
+            found
+            for row, part in zip(raw, decoded, strict=True)
+            for found in _unread_fields(
+                row, part, f"{place}.{row.get('name', '')}"
+            )
+            if isinstance(part, msgspec.Struct)
+        ]
+    if not isinstance(decoded, msgspec.Struct):
+        return []
+    read = {field.name for field in msgspec.structs.fields(decoded)}
+    unread = [
+        (place or "configuration", f"field {name!r}")
+        for name in raw
+        if name not in read
+    ]
+    for name in raw:
+        if name in read:
+            inner = f"{place}.{name}".removeprefix(".")
+            unread += _unread_fields(raw[name], getattr(decoded, name), inner)
+    return unread
+
+
 def decode_sampler(key: str, value: bytes) -> state.Sampler:
     """Return a sampler's announcement; raises `FieldError`."""
     return errors.decoded("sampler", lambda: _sampler(key, value))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,9 @@
 
 from poplarloft.protocol import documents
 from standins import platform
+from standins import revision_store
 from tests import processes
+from tests import serving_fleet
 from tests import test_daemon_process as helpers
 
 pytestmark = pytest.mark.alone
@@ -97,3 +99,54 @@
     assert run("keys", "new", str(path))[0] == 2
     secret = path.read_text().split()[-1]
     assert secret not in public
+
+
+def serving_file(folder, name, version=1, **changes):
+    document = json.loads(serving_fleet.configuration(version))
+    document["routes"][0].update(changes)
+    path = folder / name
+    path.write_text(json.dumps(document))
+    return str(path)
+
+
+def test_a_configuration_of_serving_is_checked_and_compared(tmp_path):
+    good = serving_file(tmp_path, "good.json")
+    assert run("serving", "check", good) == (0, "", "")
+    newer = serving_file(tmp_path, "newer.json", 2, timeout_ms=9_000)
+    code, output, _ = run("serving", "check", newer, "--against", good)
+    assert code == 0
+    assert "version: 1 -> 2" in output
+    assert "timeout_ms" in output
+    wrong = serving_file(tmp_path, "wrong.json", timeout_ms=1, typo=1)
+    code, output, _ = run("serving", "check", wrong, "--json")
+    assert code == 1
+    found = json.loads(output)["problems"]
+    assert {problem["kind"] for problem in found} == {
+        "never-matches",
+        "contradiction",
+    }
+    code, output, _ = run("serving", "check", good, "--against", newer)
+    assert code == 1
+    assert "version: 1, expected over 2" in output
+    refused = serving_file(tmp_path, "refused.json", version="x")
+    (tmp_path / "refused.json").write_text("{}")
+    code, _, errors = run("serving", "check", refused)
+    assert code == 2
+    assert "error: configuration" in errors
+
+
+async def test_a_configuration_is_compared_with_the_store(tmp_path):
+    store = revision_store.RevisionStoreStandin()
+    address = await store.start()
+    newer = serving_file(tmp_path, "newer.json", 2)
+    arguments = ("serving", "check", newer, "--store", str(address))
+    code, output, errors = await asyncio.to_thread(run, *arguments)
+    assert (code, output) == (3, "")
+    assert "has no configuration" in errors
+    await store.put("op/config", serving_fleet.configuration(1))
+    code, output, _ = await asyncio.to_thread(run, *arguments)
+    assert (code, output) == (0, "differs: version: 1 -> 2\n")
+    await store.stop()
+    code, _, errors = await asyncio.to_thread(run, *arguments)
+    assert code == 3
+    assert "no answer" in errors
