--- a/poplarloft/daemon/serving/rollouts/generation.py
+++ b/poplarloft/daemon/serving/rollouts/generation.py
@@ -258,7 +258,7 @@
         and doesn't go on with what the earlier one began.
         """
         sampler = run.view.sampler
-        outcome = await self.client.probe(sampler)
+        outcome = await self.client.probe(sampler, new_connection=False)
         if outcome is state.ProbeOutcome.OTHER_RUN:
             self.on_replaced(sampler)
             raise _Stopped("another run is at its address", False)
--- a/poplarloft/daemon/serving/rollouts/tests/test_generation.py
+++ b/poplarloft/daemon/serving/rollouts/tests/test_generation.py
@@ -49,7 +49,7 @@
         self.probes = 0
         self.started = asyncio.Event()
 
-    async def probe(self, sampler):
+    async def probe(self, sampler, new_connection):
         self.probes += 1
         return self.outcome
 
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -233,15 +233,27 @@
                 response.close()
         return None
 
-    async def probe(self, sampler: state.Sampler) -> state.ProbeOutcome:
-        """Ask an upstream over a new connection whether its run goes on."""
+    async def probe(
+        self, sampler: state.Sampler, new_connection: bool = True
+    ) -> state.ProbeOutcome:
+        """Ask an upstream whether its run goes on.
+
+        Parameters
+        ----------
+        sampler : state.Sampler
+            The run, as announced.
+        new_connection : bool
+            Whether to open a connection for it, which tells as well whether
+            the upstream still takes any. Otherwise an idle one is used; if
+            that fails, a new one.
+        """
         sent = await self.client.send(
             sampler.address,
             "GET",
             names.REPORT_PATH,
             ((names.EXPECT_INSTANCE, sampler.name),),
             timeout_ms=PROBE_TIMEOUT_MS,
-            new_connection=True,
+            new_connection=new_connection,
         )
         match sent:
             case result.Success(response):
@@ -250,6 +262,8 @@
                     self._observe_control(sampler, response)
                 return outcome
             case result.Failure(failure):
+                if not new_connection:
+                    return await self.probe(sampler)
                 if failure.kind is FailureKind.CONNECT_REFUSED:
                     return state.ProbeOutcome.REFUSED
         return state.ProbeOutcome.SILENT
