Leave a path to the store on which calls get no answer

Change: after two calls in a row without an answer on a path, its watches go on over another. A single lost answer, and calls that are turned away, don't move them.

--- a/poplarloft/daemon/serving/store/store_relay.py
+++ b/poplarloft/daemon/serving/store/store_relay.py
@@ -10,6 +10,7 @@
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving.fleet import feed_link
+from poplarloft.daemon.serving.store import path_watches
 from poplarloft.daemon import tasks
 from poplarloft.platform import sealing
 from poplarloft.platform import store as platform_store
@@ -63,6 +64,7 @@
         self.path_selector = path_selector
         self.direct = platform_store.PlatformStore(client, address)
         self.stores_by_path = {serving.DIRECT: self.direct}
+        self.watches = path_watches.PathWatches()
         self.answered = asyncio.Event()
 
     async def wait_until_available(self, timeout_ms: float) -> None:
@@ -94,14 +96,18 @@
 
     async def get(self, key: str) -> Read[state.Entry | None]:
         """Return the entry of `key`, or None."""
-        return await self._read(lambda store: store.get(key))
+        return await self._read(
+            lambda path: self.stores_by_path[path].get(key)
+        )
 
     async def list_page(
         self, prefix: str, after_key: str = "", allow_stale: bool = False
     ) -> Read[state.Page]:
         """Return a page of entries under `prefix`, after `after_key`."""
         return await self._read(
-            lambda store: store.list_page(prefix, after_key, allow_stale)
+            lambda path: self.stores_by_path[path].list_page(
+                prefix, after_key, allow_stale
+            )
         )
 
     async def watch(
@@ -109,21 +115,32 @@
     ) -> Read[state.Changes]:
         """Return changes under `prefix`, waiting until there is one."""
         return await self._read(
-            lambda store: store.watch(prefix, after_revision, wait_ms),
+            lambda path: self.watches.wait(
+                path,
+                self.stores_by_path[path].watch(
+                    prefix, after_revision, wait_ms
+                ),
+            ),
             (FailureKind.NOT_DONE,),
         )
 
     async def grant_lease(self, ttl_ms: int) -> Read[int]:
         """Grant a lease; return its id."""
-        return await self._read(lambda store: store.grant_lease(ttl_ms))
+        return await self._read(
+            lambda path: self.stores_by_path[path].grant_lease(ttl_ms)
+        )
 
     async def renew_lease(self, lease: int) -> Read[int]:
         """Renew a lease; return its duration in milliseconds."""
-        return await self._read(lambda store: store.renew_lease(lease))
+        return await self._read(
+            lambda path: self.stores_by_path[path].renew_lease(lease)
+        )
 
     async def revoke_lease(self, lease: int) -> Read[int]:
         """Revoke a lease, which removes its keys."""
-        return await self._read(lambda store: store.revoke_lease(lease))
+        return await self._read(
+            lambda path: self.stores_by_path[path].revoke_lease(lease)
+        )
 
     async def write(
         self,
@@ -144,6 +161,7 @@
                     self._on_path_failure(path, answer.detail)
                 case state.WriteStatus.UNKNOWN:
                     self._on_path_failure(path, answer.detail)
+                    self.watches.on_no_answer(path)
                     return answer
                 case _:
                     self._on_path_success(path)
@@ -153,9 +171,7 @@
 
     async def _read(
         self,
-        call: abc.Callable[
-            [platform_store.PlatformStore], abc.Awaitable[Read[T]]
-        ],
+        call: abc.Callable[[str], abc.Awaitable[Read[T]]],
         retry_kinds: tuple[FailureKind, ...] = PATH_FAILURES,
     ) -> Read[T]:
         """Try the access paths in order, until a call need not be retried.
@@ -164,12 +180,14 @@
         `retry_kinds`.
         """
         for path in self.path_selector.paths_to_try():
-            answer = await call(self.stores_by_path[path])
+            answer = await call(path)
             match answer:
                 case result.Failure(state.StoreFailure() as failure) if (
                     failure.kind in PATH_FAILURES
                 ):
                     self._on_path_failure(path, failure.detail)
+                    if failure.kind is FailureKind.NO_ANSWER:
+                        self.watches.on_no_answer(path)
                     if failure.kind not in retry_kinds:
                         return answer
                 case _:
@@ -180,6 +198,7 @@
 
     def _on_path_success(self, path: str) -> None:
         self.path_selector.on_answer(path)
+        self.watches.on_answer(path)
         self.answered.set()
 
     def _on_path_failure(self, path: str, detail: str) -> None:
