--- a/poplarloft/coordination/serving/rollouts/step_schedule.py
+++ b/poplarloft/coordination/serving/rollouts/step_schedule.py
@@ -6,13 +6,12 @@
 of a trainer that has been delayed once stay behind those of the others.
 """
 
-import itertools
 import statistics
 
 __all__ = ["StepSchedule"]
 
 KEPT_STEPS = 16
-MIN_STEPS = 4  # three intervals, of which the median is taken
+MIN_STEPS = 4  # two intervals over two steps
 MAX_LAG_INTERVALS = 2.0  # of one trainer, so that others aren't starved
 
 
@@ -68,8 +67,13 @@
 
 
 def _interval_ms(known: dict[int, int]) -> float:
-    """Return the usual time between two steps."""
-    return statistics.median(
+    """Return the usual time between two steps.
+
+    It is the median over two steps: a trainer that has two steps under way
+    asks for them in pairs while it is behind.
+    """
+    numbers = sorted(known)
+    return statistics.median_low(
         (known[after] - known[before]) / (after - before)
-        for before, after in itertools.pairwise(sorted(known))
+        for before, after in zip(numbers, numbers[2:], strict=False)
     )
--- a/poplarloft/coordination/serving/rollouts/tests/test_step_schedule.py
+++ b/poplarloft/coordination/serving/rollouts/tests/test_step_schedule.py
@@ -72,6 +72,13 @@
     assert ask(schedule, times_ms)[-2:] == [16_000, 20_000]
 
 
+def test_steps_that_come_in_pairs_have_a_cadence():
+    schedule = step_schedule.StepSchedule()
+    times_ms = [0, 4_000, 8_000, 12_000, 20_000, 20_200, 28_000, 28_200]
+    times_ms += [36_000, 36_200]
+    assert ask(schedule, times_ms)[-2:] == [32_000, 36_000]
+
+
 def test_a_trainer_of_few_steps_is_taken_to_be_in_time():
     schedule = step_schedule.StepSchedule()
     assert ask(schedule, [0, 4_000, 13_000]) == [0, 4_000, 13_000]
