--- a/poplarloft/coordination/serving/store/access_paths.py
+++ b/poplarloft/coordination/serving/store/access_paths.py
@@ -12,6 +12,7 @@
 MAX_BACKOFF_MS = 60_000
 UNAVAILABLE_MS = 700
 MAX_PEERS = 2
+SILENT_CALLS = 2  # in a row; a single answer may be lost
 
 
 class AccessPathSelector:
@@ -35,6 +36,7 @@
         self.peers: tuple[str, ...] = ()
         self.backoff_until_ms: dict[str, int] = {}
         self.failures: dict[str, int] = {}
+        self.silent_calls: dict[str, int] = {}
         self.working_peer = ""
         self.unavailable_until_ms = 0
 
@@ -59,6 +61,7 @@
         """Record that the store answered through a path."""
         self.backoff_until_ms.pop(path, None)
         self.failures.pop(path, None)
+        self.silent_calls.pop(path, None)
         self.unavailable_until_ms = 0
         if path != DIRECT:
             self.working_peer = path
@@ -74,6 +77,18 @@
         backoff_ms = min(MAX_BACKOFF_MS, BACKOFF_MS * 2**count)
         self.backoff_until_ms[path] = self.clock.now_ms() + backoff_ms
 
+    def on_no_answer(self, path: str) -> None:
+        """Record that a call, which has failed, got no answer."""
+        self.silent_calls[path] = self.silent_calls.get(path, 0) + 1
+
+    def is_silent(self, path: str) -> bool:
+        """Return whether watches should leave a path.
+
+        A watch waits for seconds, and can't tell a path that is silent from
+        one on which nothing changes; other calls can, within their timeout.
+        """
+        return self.silent_calls.get(path, 0) >= SILENT_CALLS
+
     def is_usable(self, path: str) -> bool:
         """Return whether a path is not backing off."""
         return self.backoff_until_ms.get(path, 0) <= self.clock.now_ms()
--- a/poplarloft/coordination/serving/store/tests/test_access_paths.py
+++ b/poplarloft/coordination/serving/store/tests/test_access_paths.py
@@ -53,3 +53,19 @@
     assert selector.paths_to_try() == [serving.DIRECT]
     clock.advance(701)
     assert len(selector.paths_to_try()) == 3
+
+
+def test_a_path_is_silent_after_two_calls_in_a_row_without_an_answer():
+    selector = serving.AccessPathSelector(
+        state.ManualClock(), random.Random(0)
+    )
+    selector.on_no_answer("b")
+    assert not selector.is_silent("b")
+    selector.on_answer("b")
+    selector.on_no_answer("b")
+    assert not selector.is_silent("b")
+    selector.on_no_answer("b")
+    assert selector.is_silent("b")
+    assert not selector.is_silent(serving.DIRECT)
+    selector.on_answer("b")
+    assert not selector.is_silent("b")
--- a/poplarloft/daemon/serving/store/store_relay.py
+++ b/poplarloft/daemon/serving/store/store_relay.py
@@ -161,7 +161,7 @@
                     self._on_path_failure(path, answer.detail)
                 case state.WriteStatus.UNKNOWN:
                     self._on_path_failure(path, answer.detail)
-                    self.watches.on_no_answer(path)
+                    self._on_no_answer(path)
                     return answer
                 case _:
                     self._on_path_success(path)
@@ -187,7 +187,7 @@
                 ):
                     self._on_path_failure(path, failure.detail)
                     if failure.kind is FailureKind.NO_ANSWER:
-                        self.watches.on_no_answer(path)
+                        self._on_no_answer(path)
                     if failure.kind not in retry_kinds:
                         return answer
                 case _:
@@ -198,9 +198,13 @@
 
     def _on_path_success(self, path: str) -> None:
         self.path_selector.on_answer(path)
-        self.watches.on_answer(path)
         self.answered.set()
 
+    def _on_no_answer(self, path: str) -> None:
+        self.path_selector.on_no_answer(path)
+        if self.path_selector.is_silent(path):
+            self.watches.end(path)
+
     def _on_path_failure(self, path: str, detail: str) -> None:
         """Record and log a call that was refused or not answered."""
         self.path_selector.on_failure(path)
