--- a/poplarloft/platform/documents.py
+++ b/poplarloft/platform/documents.py
@@ -161,14 +161,12 @@
 ) -> list[tuple[str, str]]:
     """Return the fields of `raw` that `decoded` lacks, with those inside."""
     if isinstance(decoded, list):
-        return [
-            found
-            for row, part in zip(raw, decoded, strict=True)
-            for found in _unread_fields(
-                row, part, f"{place}.{row.get('name', '')}"
-            )
-            if isinstance(part, msgspec.Struct)
-        ]
+        found = []
+        for row, part in zip(raw, decoded, strict=True):
+            if isinstance(part, msgspec.Struct):
+                name = row.get("name", "")
+                found += _unread_fields(row, part, f"{place}.{name}")
+        return found
     if not isinstance(decoded, msgspec.Struct):
         return []
     read = {field.name for field in msgspec.structs.fields(decoded)}
--- a/poplarloft/platform/tests/test_unread_documents.py
+++ b/poplarloft/platform/tests/test_unread_documents.py
@@ -49,6 +49,13 @@
     assert find(limits={**LIMITS, "x": 1}) == [("limits", "field 'x'")]
 
 
+def test_lists_of_plain_values_are_read_and_not_told():
+    account = {"name": "x", "keys": ["secret"], "key_digest": "secret"}
+    assert find(tenants=[account]) == [("tenants.x", "field 'key_digest'")]
+    scaling = {"min": 0, "max": 1, "boot_s": 1, "zone_prices": {"a": 1.0}}
+    assert find(services=[{"name": "app", "scaling": scaling}]) == []
+
+
 def test_routes_of_an_unknown_kind_are_found():
     assert find(routes=[{**ROUTE, "kind": "idempotnt"}]) == [
         ("routes.visits", "kind 'idempotnt'")
