--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -318,7 +318,7 @@
         broken = asyncio.run(
             asyncio.wait_for(play(record, has_trouble), limit_s)
         )
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
         record.add("could not run:", repr(error))
         record.write()
         print("could not run:", repr(error))
