--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -46,11 +46,16 @@
     """The case can't be run here."""
 
 
-def free_port(host):
-    """Return a port that nobody uses on an address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def free_ports(host, count):
+    """Return different ports that nobody uses on an address."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
 
 
 def render(template, fields):
@@ -92,9 +97,7 @@
         self.name = name
         self.zone = zone
         self.ip = deployment.next_ip()
-        self.front = free_port(self.ip)
-        self.ready = free_port(self.ip)
-        self.ports = [free_port(self.ip), free_port(self.ip)]
+        self.front, self.ready, *self.ports = free_ports(self.ip, 4)
         self.process = None
         self.log_path = deployment.folder / f"{name}.log"
 
@@ -217,7 +220,8 @@
                 if answer is not None and answer.status == 200:
                     break
                 if time.monotonic() > until_s:
-                    raise CannotRunError(f"{daemon.name} is not ready")
+                    last = daemon.log_path.read_text()[-300:]
+                    raise CannotRunError(f"{daemon.name} is not ready: {last}")
                 await asyncio.sleep(0.1)
 
     def end(self):
