Review: cases 9 and 10 judged closer to their rules

Case 9 also asks that the engines are idle, case 10 counts only requests of fronts that had passed on the limit half a second before.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -22,6 +22,7 @@
 ITEMS = 64
 GROUP = 8
 ITEM_EVENTS = 25
+IDLE_S = 5.0  # "has been at no sampler for 5 s of steady state"
 STEP_S = 12.0  # peritos-central.toml: deadline_ms = 12000
 STEP = "5b1d07c9e2a84f60"
 STREAMS = 24
@@ -268,7 +269,9 @@
     for made in engines:
         count = len(made.run_times)
         record.add(f"{made.name} got {count} requests, limit {SERVER_LIMIT}")
-    if not waiting:
+    # The rule asks for all of these.
+    is_idle = idle_s > IDLE_S and 2 * running < ENGINES * SLOTS
+    if not waiting or waiting == ITEMS or not is_idle:
         return []
     return [
         f"LOST: the step ran out of time with {waiting} of {ITEMS} items at "
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -167,13 +167,16 @@
 
     Attributes
     ----------
-    arrived_s : list of float
-        When each request came, on the event loop's clock.
+    arrivals : list of (float, str)
+        When each request came, on the event loop's clock, and its id.
+    named_s : float or None
+        When it first named its limit.
     """
 
     def __init__(self, name, slots=8, work_s=0.1, max_conns=140, limit=None):
         self.limit = limit
-        self.arrived_s = []
+        self.arrivals = []
+        self.named_s = None
         self.name = name
         self.slots = slots
         self.work_s = work_s
@@ -234,7 +237,8 @@
             headers[name.lower()] = value.strip()
         await reader.readexactly(int(headers.get("content-length", "0")))
         request_id = headers.get("x-request-id", "")
-        self.arrived_s.append(asyncio.get_running_loop().time())
+        loop = asyncio.get_running_loop()
+        self.arrivals.append((loop.time(), request_id))
         async with self.free:
             await asyncio.sleep(self.work_s)
         self.served += 1
@@ -246,6 +250,7 @@
             f"X-Server-Stamp: {self.name}.{request_id}\r\n"
         )
         if self.limit is not None:
+            self.named_s = self.named_s or loop.time()
             head += f"Server-Limit: {self.limit}\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
