Bound what one turn of the loop takes from clients

What callers saw: while a crowd sat on its connections or sent bodies in chunks of a byte, ordinary requests got no answer, also for seconds after the crowd had left; five forms of tests/test_serving_crowds.py.

Cause: the loop accepted a whole backlog in one turn and read up to 256 KiB of each connection before any of it was counted; a chunk cost an object each and all chunks of a read were parsed in one turn; only idle clients that had been served made room; one that had sent over 64 KiB ahead was not read any more, and so not seen to leave; a closed connection kept its buffers until its task had ended, and one that was closed with an unread answer kept its socket while it left the account.

Now the server accepts at most 16 connections a turn, reads 16 KiB of each into one shared buffer, parses 32 events before others have a turn, and lets eight requests that were sent ahead go on a turn. The table of coordination/clients decides who makes room. Clients from whom nothing is read are watched for their end alone. A place is given back once the socket is closed. A request's client that leaves ends its session also while a response is streamed.

--- a/poplarloft/transport/client_buffers.py
+++ b/poplarloft/transport/client_buffers.py
@@ -1,9 +1,11 @@
 """Accounts for what the connections of a server hold."""
 
 from collections import abc
+import dataclasses
 import itertools
 
-from poplarloft.coordination import client_memory
+from poplarloft.coordination import clients
+from poplarloft import state
 
 __all__ = ["ClientBuffers", "ConnectionBuffer"]
 
@@ -25,46 +27,50 @@
         self.buffers = buffers
         self.close = close
         self.number = next(buffers.numbers)
-        self.hold = client_memory.ClientHold()
+        self.hold = clients.ClientHold()
+        self.phase = clients.Phase.SILENT
         buffers.connections[self.number] = self
+        buffers.table.add(self.number)
 
-    def set_ahead(self, size: int) -> None:
-        """Set the bytes that are not yet part of a request."""
-        self._update(ahead_bytes=size)
+    def enter(self, phase: clients.Phase) -> None:
+        """Set what the connection waits for."""
+        if self.phase is not phase:
+            self.phase = phase
+            self.buffers.table.enter(self.number, phase)
+
+    def set_channel(self, has_channel: bool) -> None:
+        """Set whether its request may use a channel upstream."""
+        self.buffers.table.set_channel(self.number, has_channel)
+
+    def set_arrived(self, ahead_bytes: int, kernel_bytes: int) -> None:
+        """Set what has arrived and is not yet part of a request."""
+        self._update(ahead_bytes=ahead_bytes, kernel_bytes=kernel_bytes)
 
     def set_unread(self, size: int) -> None:
         """Set the bytes of answers that the client has not read."""
         self._update(unread_bytes=size)
 
     def take_body(self, size: int) -> bool:
-        """Set the size of the body; return whether it may be read."""
-        memory = self.buffers.memory
-        if size and not memory.may_take_body(self.number, size):
-            return False
+        """Set the memory for the request; return whether it may be used."""
+        if size > self.hold.body_bytes:
+            decision = self.buffers.table.take_body(self.number, size)
+            self.buffers.close_all(decision.closed)
+            if not decision.is_taken:
+                return False
         self._update(body_bytes=size)
         return True
 
     def remove(self) -> None:
         """Forget the connection, which has been closed."""
-        self.buffers.memory.remove(self.number)
+        self.buffers.table.remove(self.number)
         self.buffers.connections.pop(self.number, None)
 
-    def _update(
-        self,
-        ahead_bytes: int | None = None,
-        body_bytes: int | None = None,
-        unread_bytes: int | None = None,
-    ) -> None:
-        old = self.hold
-        self.hold = client_memory.ClientHold(
-            old.ahead_bytes if ahead_bytes is None else ahead_bytes,
-            old.body_bytes if body_bytes is None else body_bytes,
-            old.unread_bytes if unread_bytes is None else unread_bytes,
-        )
-        if self.number in self.buffers.connections:
-            self.buffers.memory.update(self.number, self.hold)
-            if self.hold.total_bytes > old.total_bytes:
-                self.buffers.close_excess()
+    def _update(self, **changed: int) -> None:
+        before_bytes = self.hold.total_bytes
+        self.hold = dataclasses.replace(self.hold, **changed)
+        self.buffers.table.set_hold(self.number, self.hold)
+        if self.hold.total_bytes > before_bytes:
+            self.buffers.close_excess()
 
 
 class ClientBuffers:
@@ -72,25 +78,61 @@
 
     Parameters
     ----------
+    max_connections : int
+        Number of connections that may be open.
     max_bytes : int
-        Bound for all connections together.
+        Bound on what all connections together hold.
     on_closed : callable
-        Called with what a connection held that was closed for it.
+        Called with the reason for which a connection was closed, and what
+        it held.
     """
 
     def __init__(
         self,
+        max_connections: int,
         max_bytes: int,
-        on_closed: abc.Callable[[client_memory.ClientHold], None],
+        on_closed: abc.Callable[[str, clients.ClientHold], None],
     ) -> None:
-        self.memory = client_memory.ClientMemory(max_bytes)
+        self.table = clients.ClientTable(
+            state.MonotonicClock(), max_connections, max_bytes
+        )
         self.on_closed = on_closed
         self.connections: dict[int, ConnectionBuffer] = {}
         self.numbers = itertools.count(1)
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections, also of those whose closing is under way."""
+        return len(self.connections)
+
     def close_excess(self) -> None:
-        """Close connections until the bound holds."""
-        for number in self.memory.to_close():
-            connection = self.connections.pop(number)
-            self.on_closed(connection.hold)
-            connection.close()
+        """Close connections until the bound on memory holds."""
+        self.close_all(self.table.close_excess())
+
+    def make_room(self) -> bool:
+        """Return whether there is a place for one more connection."""
+        if len(self.table.clients) < self.table.max_connections:
+            return True
+        number = self.table.make_room()
+        if number is None:
+            return False
+        self._close(number, "makes-room")
+        return True
+
+    def free_channel(self) -> bool:
+        """Close a connection that does not use its channel upstream."""
+        number = self.table.free_channel()
+        if number is None:
+            return False
+        self._close(number, "holds-channel")
+        return True
+
+    def close_all(self, numbers: abc.Iterable[int]) -> None:
+        """Close connections that the table has chosen for their memory."""
+        for number in numbers:
+            self._close(number, "holds-most")
+
+    def _close(self, number: int, reason: str) -> None:
+        connection = self.connections[number]
+        self.on_closed(reason, connection.hold)
+        connection.close()
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -7,19 +7,22 @@
 import eliot
 import h11
 
-from poplarloft.coordination import client_memory
+from poplarloft.coordination import clients
 from poplarloft import state
+from poplarloft.transport import acceptor
 from poplarloft.transport import client_buffers
-from poplarloft.transport import counting_reader
+from poplarloft.transport import client_connection
+from poplarloft.transport import departures
 from poplarloft.transport import http_session
 from poplarloft.transport import request_reader
 from poplarloft.transport import server_limits
+from poplarloft.transport import turns
 
 __all__ = ["Handler", "HttpServer", "ServerLimits", "machine_limits"]
 
-READ_BYTES = 16_384
-BACKLOG = 1_024
-ATTACH_STEPS = 2  # iterations of the event loop
+MAX_BACKLOG = 1_024
+SENT_AHEAD_PER_TURN = 8  # requests
+CONNECTING_S = 0.5  # for handshakes that have begun before a stop
 MS_PER_S = 1_000
 Handler = http_session.Handler
 BodyLimit = request_reader.BodyLimit
@@ -45,6 +48,11 @@
     may_stream : callable
         Returns whether large bodies for a path are passed to the handler
         as a stream instead of being buffered.
+
+    Attributes
+    ----------
+    address : state.Address
+        Address that it listens on, once it has started.
     """
 
     def __init__(
@@ -59,35 +67,31 @@
         self.handler = handler
         self.limits = limits
         self.buffers = client_buffers.ClientBuffers(
-            limits.max_held_bytes, _log_closed
+            limits.max_connections, limits.max_held_bytes, _log_closed
         )
         self.body_limit = body_limit
         self.tls = tls
         self.cancel_on_disconnect = cancel_on_disconnect
         self.may_stream = may_stream
+        self.turns = turns.TurnQueue(SENT_AHEAD_PER_TURN)
+        self.departures = departures.DepartureWatch()
         self.sessions: dict[asyncio.Task[None], http_session.Session] = {}
+        self.connecting: set[asyncio.Task[None]] = set()
         self.draining = False
-        self.listener: socket.socket | None = None
-        self.server: asyncio.Server | None = None
+        self.acceptor: acceptor.Acceptor | None = None
+        self.address = state.Address("", 0)
 
     async def start(self, address: state.Address) -> state.Address:
         """Listen on `address`; return it with the port that was bound."""
-        is_ipv6 = ":" in address.host
-        self.listener = socket.create_server(
-            (address.host, address.port),
-            family=socket.AF_INET6 if is_ipv6 else socket.AF_INET,
-            backlog=BACKLOG,
+        self.acceptor = acceptor.Acceptor(
+            address,
+            min(MAX_BACKLOG, self.limits.max_connections),
+            self.limits.receive_buffer_bytes,
+            self.buffers,
+            self._accept,
         )
-        self.listener.setblocking(False)
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            self._new_protocol,
-            sock=self.listener,
-            ssl=self.tls,
-            backlog=BACKLOG,
-        )
-        host, port = self.listener.getsockname()[:2]
-        return state.Address(host, port)
+        self.address = self.acceptor.address
+        return self.address
 
     async def stop_listening(self) -> None:
         """Accept no further connections; open ones are still served.
@@ -95,22 +99,12 @@
         The kernel resets established connections that nobody has accepted
         when their listener closes, so these are accepted first.
         """
-        server, self.server = self.server, None
-        listener, self.listener = self.listener, None
-        if server is None or listener is None:
+        stopped, self.acceptor = self.acceptor, None
+        if stopped is None:
             return
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(listener.fileno())
-        # The server must still be open when the connections that it has
-        # just accepted are attached to it.
-        for _ in range(ATTACH_STEPS):
-            await asyncio.sleep(0)
-        accepted = _accept_all(listener)
-        server.close()
-        for connection in accepted:
-            await loop.connect_accepted_socket(
-                self._new_protocol, connection, ssl=self.tls
-            )
+        stopped.stop()
+        if self.connecting:
+            await asyncio.wait(self.connecting, timeout=CONNECTING_S)
 
     async def drain(self, timeout_ms: int) -> int:
         """Close idle connections and wait for exchanges in flight.
@@ -132,66 +126,51 @@
         cut = len(self.sessions)
         for task in list(self.sessions):
             task.cancel()
+        self.departures.close()
         return cut
 
-    def _new_protocol(self) -> asyncio.StreamReaderProtocol:
-        loop = asyncio.get_running_loop()
-        reader = counting_reader.CountingReader(READ_BYTES)
-
-        def accept(_: object, writer: asyncio.StreamWriter) -> None:
-            self._accept(reader, writer)
-
-        return asyncio.StreamReaderProtocol(reader, accept, loop)
-
-    def _accept(
-        self,
-        reader: counting_reader.CountingReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        if len(self.sessions) >= self.limits.max_connections:
-            idle = self._longest_idle()
-            if idle is None:
-                writer.transport.abort()
-                return
-            idle.end_if_idle()
-        session = http_session.Session(self, reader, writer)
+    def _accept(self, accepted: socket.socket) -> None:
+        """Serve a connection that has just been accepted."""
+        connection = client_connection.ClientConnection(
+            self.buffers,
+            self.departures,
+            self.attach,
+            self.limits.max_ahead_bytes,
+            self.limits.unread_timeout_ms / MS_PER_S,
+        )
+        connecting = connection.start(accepted, self.tls)
+        self.connecting.add(connecting)
+        connecting.add_done_callback(self.connecting.discard)
+
+    def attach(
+        self, connection: client_connection.ClientConnection
+    ) -> asyncio.Task[None]:
+        """Start a session on a connection that can exchange data."""
+        session = http_session.Session(
+            self, connection.stream, connection.buffer
+        )
+        connection.drop_body = session.requests.body.clear
         task = asyncio.get_running_loop().create_task(_serve(session))
         self.sessions[task] = session
         # The session is closed by a callback: a task that is cancelled before
         # its first step runs no code of its own, not even a `finally` block.
-        task.add_done_callback(lambda ended: self.sessions.pop(ended).close())
-
-    def _longest_idle(self) -> http_session.Session | None:
-        """Return the session that has waited longest for its next request."""
-        return min(
-            (s for s in self.sessions.values() if s.is_idle),
-            key=lambda session: session.idle_since_s,
-            default=None,
-        )
+        task.add_done_callback(self._on_session_done)
+        return task
 
+    def _on_session_done(self, task: asyncio.Task[None]) -> None:
+        self.sessions.pop(task).close()
 
-def _log_closed(hold: client_memory.ClientHold) -> None:
+
+def _log_closed(reason: str, hold: clients.ClientHold) -> None:
     eliot.log_message(
         "client-closed",
-        reason="holds-most",
+        reason=reason,
         ahead_bytes=hold.ahead_bytes,
         body_bytes=hold.body_bytes,
         unread_bytes=hold.unread_bytes,
     )
 
 
-def _accept_all(listener: socket.socket) -> list[socket.socket]:
-    """Return all connections that wait to be accepted."""
-    connections: list[socket.socket] = []
-    while True:
-        try:
-            connection, _ = listener.accept()
-        except OSError:
-            return connections
-        connection.setblocking(False)
-        connections.append(connection)
-
-
 async def _serve(session: http_session.Session) -> None:
     try:
         await session.run()
--- a/poplarloft/transport/http_session.py
+++ b/poplarloft/transport/http_session.py
@@ -2,16 +2,19 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import typing
 
 import h11
 
+from poplarloft.coordination import clients
 from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import client_buffers
-from poplarloft.transport import counting_reader
+from poplarloft.transport import client_stream
 from poplarloft.transport import request_reader
 from poplarloft.transport import server_limits
+from poplarloft.transport import turns
 
 __all__ = ["Handler", "Session", "UnreadResponseError"]
 
@@ -30,13 +33,14 @@
     Attributes
     ----------
     cancel_on_disconnect : bool
-        Whether to cancel a handler when its client disconnects, unless
-        the request body is streamed to it.
+        Whether to cancel a handler when its client disconnects.
+    turns : turns.TurnQueue
+        Shares the event loop among clients that send requests ahead.
     """
 
     handler: Handler
     cancel_on_disconnect: bool
-    buffers: client_buffers.ClientBuffers
+    turns: turns.TurnQueue
 
 
 class Session:
@@ -54,22 +58,19 @@
     def __init__(
         self,
         server: _Server,
-        reader: counting_reader.CountingReader,
-        writer: asyncio.StreamWriter,
+        stream: client_stream.ClientStream,
+        buffer: client_buffers.ConnectionBuffer,
     ) -> None:
         self.server = server
-        self.buffer = client_buffers.ConnectionBuffer(
-            server.buffers, writer.transport.abort
-        )
-        self.requests = request_reader.RequestReader(
-            server, reader, writer, self.buffer
-        )
-        reader.on_arrival = self.requests.note_ahead
+        self.buffer = buffer
+        self.requests = request_reader.RequestReader(server, stream, buffer)
+        stream.on_arrival = self.requests.note_arrival
         self.http = self.requests.http
-        self.writer = writer
+        self.stream = stream
         self.has_served = False
         self.response_complete = True
-        self.idle_since_s = 0.0
+        self.is_serving = False
+        self.task: asyncio.Task[None] | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -78,10 +79,15 @@
 
     async def run(self) -> None:
         """Serve requests until either side ends the connection."""
+        self.task = asyncio.current_task()
         while await self._serve_one():
             self.http.start_next_cycle()
-            if self.server.draining and not self.http.trailing_data[0]:
+            if self.requests.is_ahead:
+                await self.server.turns.wait()
+            elif self.server.draining:
                 return
+            else:
+                self.buffer.enter(clients.Phase.IDLE)
 
     def end_if_idle(self) -> None:
         """End the connection if it is waiting for a request.
@@ -99,11 +105,13 @@
         The reset prevents the client from treating a truncated response as
         complete.
         """
-        self.buffer.remove()
+        self.requests.body.clear()
         if self.response_complete:
-            self.writer.close()
+            self.stream.close()
         else:
-            self.writer.transport.abort()
+            self.stream.abort()
+        # Closed only once the client has read what was written.
+        self.buffer.enter(clients.Phase.UNREAD)
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -114,42 +122,35 @@
             return False
         if request is None:
             return False
-        response = await self._handle(request)
-        if response is None:
-            return False
-        await self._send(request, response)
+        with self._serving():
+            response = await self._call_handler(request)
+            await self._send(request, response)
         self.buffer.take_body(0)
         if request.stream is not None:
             await self.requests.discard_body()
         self.has_served = True
-        self.idle_since_s = asyncio.get_running_loop().time()
         return self.http.our_state is h11.DONE and (
             self.http.their_state is h11.DONE
         )
 
-    async def _handle(
-        self, request: http.HttpRequest
-    ) -> http.HttpResponse | None:
-        """Return the handler's response, None if the client disconnected."""
-        if not self.server.cancel_on_disconnect or request.stream is not None:
-            return await self._call_handler(request)
-        loop = asyncio.get_running_loop()
-        handling = loop.create_task(self._call_handler(request))
-        disconnect_wait = loop.create_task(self.requests.await_disconnect())
+    @contextlib.contextmanager
+    def _serving(self) -> abc.Iterator[None]:
+        """Cancel the session if its client leaves in the meantime."""
+        self.is_serving = True
+        self.buffer.set_channel(True)
+        if self.server.cancel_on_disconnect:
+            self.stream.set_end_listener(self._on_departure)
         try:
-            await asyncio.wait(
-                {handling, disconnect_wait},
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if handling.done():
-                return handling.result()
-            return None
+            yield
         finally:
-            for task in (handling, disconnect_wait):
-                task.cancel()
-            await asyncio.gather(
-                handling, disconnect_wait, return_exceptions=True
-            )
+            self.is_serving = False
+            self.stream.set_end_listener(None)
+            self.buffer.set_channel(False)
+
+    def _on_departure(self) -> None:
+        if self.is_serving and self.task is not None:
+            self.response_complete = False
+            self.task.cancel()
 
     async def _call_handler(
         self, request: http.HttpRequest
@@ -205,7 +206,7 @@
         if request.method != "HEAD" and body:
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
-        self.writer.write(b"".join(p for p in parts if p))
+        self.stream.write(b"".join(p for p in parts if p))
         await self._drain()
 
     async def _drain(self) -> None:
@@ -216,18 +217,27 @@
         UnreadResponseError
             If it has read nothing for `unread_timeout_ms`.
         """
-        transport = self.writer.transport
+        if not self.stream.is_write_paused:
+            self.buffer.set_unread(self.stream.unread_bytes)
+            await self.stream.drain()
+            return
+        phase = self.buffer.phase
+        self.buffer.enter(clients.Phase.UNREAD)
+        await self._drain_paused()
+        self.buffer.enter(phase)
+
+    async def _drain_paused(self) -> None:
         timeout_s = self.server.limits.unread_timeout_ms / MS_PER_S
-        unread = transport.get_write_buffer_size()
+        unread = self.stream.unread_bytes
         self.buffer.set_unread(unread)
         while True:
             try:
                 async with asyncio.timeout(timeout_s):
-                    await self.writer.drain()
-                self.buffer.set_unread(transport.get_write_buffer_size())
+                    await self.stream.drain()
+                self.buffer.set_unread(self.stream.unread_bytes)
                 return
             except TimeoutError:
-                left = transport.get_write_buffer_size()
+                left = self.stream.unread_bytes
                 if left >= unread:
                     self.response_complete = False
                     raise UnreadResponseError(
@@ -242,12 +252,12 @@
         body: abc.AsyncIterator[bytes],
     ) -> None:
         head = self._head(response.status, list(response.headers))
-        self.writer.write(self.http.send(head) or b"")
+        self.stream.write(self.http.send(head) or b"")
         async for chunk in body:
             if request.method != "HEAD":
-                self.writer.write(self.http.send(h11.Data(data=chunk)) or b"")
+                self.stream.write(self.http.send(h11.Data(data=chunk)) or b"")
             await self._drain()
-        self.writer.write(self.http.send(h11.EndOfMessage()) or b"")
+        self.stream.write(self.http.send(h11.EndOfMessage()) or b"")
         await self._drain()
 
     def _head(
@@ -278,5 +288,5 @@
             self.http.send(h11.Data(data=response.body)),
             self.http.send(h11.EndOfMessage()),
         ]
-        self.writer.write(b"".join(p for p in parts if p))
+        self.stream.write(b"".join(p for p in parts if p))
         await self._drain()
--- a/poplarloft/transport/request_reader.py
+++ b/poplarloft/transport/request_reader.py
@@ -6,9 +6,10 @@
 
 import h11
 
+from poplarloft.coordination import clients
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
-from poplarloft.transport import counting_reader
+from poplarloft.transport import client_stream
 from poplarloft.transport import server_limits
 
 __all__ = [
@@ -19,7 +20,11 @@
     "RequestReader",
 ]
 
-READ_BYTES = 16_384
+READ_BYTES = client_stream.READ_BYTES
+EVENTS_PER_TURN = 32  # then other connections are served
+HEADER_BYTES = 400  # memory of a header, beside its text
+BODY_COPIES = 2  # of a body, one of them on its way to an upstream
+BODY_STEP_BYTES = 16_384  # in which memory for a body is taken
 MS_PER_S = 1_000
 BodyLimit = abc.Callable[[str], int]
 PathPredicate = abc.Callable[[str], bool]
@@ -33,11 +38,14 @@
 class ClientBuffer(typing.Protocol):
     """Accounts for what one connection makes the server hold."""
 
-    def set_ahead(self, size: int) -> None:
-        """Set the bytes that are not yet part of a request."""
+    def enter(self, phase: clients.Phase) -> None:
+        """Set what the connection waits for."""
+
+    def set_arrived(self, ahead_bytes: int, kernel_bytes: int) -> None:
+        """Set what has arrived and is not yet part of a request."""
 
     def take_body(self, size: int) -> bool:
-        """Set the size of the body; return whether it may be read."""
+        """Set the memory for the request; return whether it may be used."""
 
 
 class RequestPolicy(typing.Protocol):
@@ -73,14 +81,16 @@
     def __init__(
         self,
         policy: RequestPolicy,
-        reader: counting_reader.CountingReader,
-        writer: asyncio.StreamWriter,
+        stream: client_stream.ClientStream,
         buffer: ClientBuffer,
     ) -> None:
         self.policy = policy
         self.buffer = buffer
-        self.reader = reader
-        self.writer = writer
+        self.stream = stream
+        self.body = bytearray()
+        self.head_bytes = 0
+        self.parsed_ahead = 0
+        self.events_in_turn = 0
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=policy.limits.max_head_bytes
         )
@@ -116,10 +126,14 @@
             for name, value in head.headers
         }
         method = head.method.decode("ascii")
+        self.head_bytes = HEADER_BYTES * len(headers)
+        if not self.buffer.take_body(self.head_bytes):
+            raise server_limits.no_memory(self.head_bytes)
         if self._may_exceed_buffer(headers) and self.policy.may_stream(path):
             stream = self._stream_body(path, headers)
             return http.HttpRequest(method, path, query, headers, b"", stream)
         body = await self._read_body(path, headers)
+        self.note_complete()
         return http.HttpRequest(method, path, query, headers, body)
 
     def _may_exceed_buffer(self, headers: dict[str, str]) -> bool:
@@ -144,7 +158,7 @@
         """Yield the request body as it arrives; raises `ProtocolError`."""
         if self.http.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
-            self.writer.write(self.http.send(proceed) or b"")
+            self.stream.write(self.http.send(proceed) or b"")
         size = 0
         try:
             while True:
@@ -153,6 +167,7 @@
                 ):
                     event = await self._next_event()
                 if not isinstance(event, h11.Data):
+                    self.note_complete()
                     return
                 size += len(event.data)
                 if size > limit:
@@ -168,9 +183,9 @@
 
         Returns None if the connection ended or stayed idle.
         """
-        pipelined = self.http.trailing_data[0]
-        if not pipelined and not await self._wait_for_request():
+        if not self.is_ahead and not await self._wait_for_request():
             return None
+        self.buffer.enter(clients.Phase.RECEIVING)
         try:
             async with asyncio.timeout(self.limits.head_timeout_ms / MS_PER_S):
                 event = await self._next_event()
@@ -194,15 +209,31 @@
         self._receive(data)
         return True
 
+    @property
+    def is_ahead(self) -> bool:
+        """Whether more has arrived than the requests so far."""
+        return bool(self.http.trailing_data[0] or self.stream.pending)
+
+    def note_complete(self) -> None:
+        """Note that the request has arrived completely."""
+        self.parsed_ahead = len(self.http.trailing_data[0])
+        self.note_arrival()
+        self.buffer.enter(clients.Phase.SERVED)
+
+    def note_arrival(self) -> None:
+        """Account for what has arrived, also for what may have."""
+        stream = self.stream
+        may_have_more = stream.is_paused or stream.has_more
+        self.buffer.set_arrived(
+            self.parsed_ahead + len(stream.pending),
+            self.limits.receive_buffer_bytes if may_have_more else 0,
+        )
+
     def _receive(self, data: bytes) -> None:
         """Take data that was read from the connection."""
         self.http.receive_data(data)
-        self.note_ahead()
-
-    def note_ahead(self) -> None:
-        """Account for what the client has sent ahead."""
-        ahead = len(self.http.trailing_data[0])
-        self.buffer.set_ahead(ahead + self.reader.buffered_bytes)
+        self.parsed_ahead = len(data)
+        self.note_arrival()
 
     def _idle_ms(self) -> int:
         if self.policy.draining:
@@ -214,7 +245,7 @@
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S) as timeout:
                 self.idle_timeout = timeout
-                return await self.reader.read(READ_BYTES)
+                return await self.stream.read(READ_BYTES)
         except TimeoutError:
             return None
         finally:
@@ -225,34 +256,44 @@
         length = int(headers.get("content-length", "0"))
         if length > limit:
             raise server_limits.too_large(limit)
-        if not self.buffer.take_body(length):
-            raise server_limits.no_memory(length)
+        self._take_body(length)
         if self.http.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
-            self.writer.write(self.http.send(proceed) or b"")
+            self.stream.write(self.http.send(proceed) or b"")
         try:
             async with asyncio.timeout(self.limits.body_timeout_ms / MS_PER_S):
-                return await self._collect_body(limit)
+                return await self._collect_body(limit, length)
         except TimeoutError:
             raise server_limits.too_slow(
                 "body", self.limits.body_timeout_ms
             ) from None
 
-    async def _collect_body(self, limit: int) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
+    async def _collect_body(self, limit: int, taken: int) -> bytes:
+        """Return the body, for whose first `taken` bytes there is memory."""
         while True:
             event = await self._next_event()
             if not isinstance(event, h11.Data):
-                return b"".join(chunks)
-            size += len(event.data)
+                body, self.body = bytes(self.body), bytearray()
+                return body
+            self.body += event.data
+            size = len(self.body)
             if size > limit:
                 raise server_limits.too_large(limit)
-            if not self.buffer.take_body(size):
-                raise server_limits.no_memory(size)
-            chunks.append(bytes(event.data))
+            if size > taken:
+                taken = size + BODY_STEP_BYTES
+                self._take_body(taken)
+
+    def _take_body(self, size: int) -> None:
+        """Take memory for a body; raises `RequestRefusedError` if none."""
+        if not self.buffer.take_body(self.head_bytes + BODY_COPIES * size):
+            raise server_limits.no_memory(size)
 
     async def _next_event(self) -> Event:
+        """Return the next event; let other connections have their turns."""
+        self.events_in_turn += 1
+        if self.events_in_turn > EVENTS_PER_TURN:
+            self.events_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self.http.next_event()
@@ -260,7 +301,7 @@
                 raise server_limits.malformed(error) from error
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.reader.read(READ_BYTES)
+            data = await self.stream.read(READ_BYTES)
             self._receive(data)
 
     async def discard_body(self) -> None:
@@ -276,24 +317,6 @@
         except (OSError, TimeoutError, server_limits.RequestRefusedError):
             return
 
-    async def await_disconnect(self) -> None:
-        """Return when the client disconnects; buffer what it sends.
-
-        Once it has sent `max_ahead_bytes`, nothing more is read, and it is
-        no longer noticed that the client leaves.
-        """
-        ahead = len(self.http.trailing_data[0])
-        try:
-            while ahead < self.limits.max_ahead_bytes:
-                data = await self.reader.read(READ_BYTES)
-                if not data:
-                    return
-                ahead += len(data)
-                self._receive(data)
-        except OSError:
-            return
-        await asyncio.Event().wait()
-
 
 def _check_head(head: h11.Request) -> None:
     """Raise `RequestRefusedError` for a head that is valid but unsafe.
--- a/poplarloft/transport/server_limits.py
+++ b/poplarloft/transport/server_limits.py
@@ -48,6 +48,8 @@
         been idle longest is closed, or else the new one.
     max_held_bytes : int
         Maximum of what all connections together make the server hold.
+    receive_buffer_bytes : int
+        Size of the kernel's buffer for what a client sends.
     """
 
     max_head_bytes: int = 16_384
@@ -58,6 +60,7 @@
     max_ahead_bytes: int = 65_536
     max_connections: int = 4_000
     max_held_bytes: int = 268_435_456
+    receive_buffer_bytes: int = 65_536
 
 
 class RequestRefusedError(Exception):
--- a/poplarloft/transport/tests/test_http.py
+++ b/poplarloft/transport/tests/test_http.py
@@ -31,18 +31,20 @@
         respond_ok, http_server.ServerLimits(), lambda path: 1_000
     )
 
-    def accept_and_cancel(reader, writer):
-        server._accept(reader, writer)
-        for task in server.sessions:
-            task.cancel()
-
-    listening = await asyncio.start_server(accept_and_cancel, "127.0.0.1", 0)
-    port = listening.sockets[0].getsockname()[1]
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    attach = server.attach
+
+    def attach_and_cancel(connection):
+        task = attach(connection)
+        task.cancel()
+        return task
+
+    server.attach = attach_and_cancel
+    address = await server.start(LOOPBACK)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
     async with asyncio.timeout(5):
         assert await reader.read() == b""
     writer.close()
-    listening.close()
+    await server.drain(0)
 
 
 async def test_stalled_body_raises_truncated_response_error():
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -221,7 +221,7 @@
     ):
         """Return status, headers and body of a daemon's response."""
         daemon = daemon or self.entries[0]
-        port = daemon.request_server.server.sockets[0].getsockname()[1]
+        port = daemon.request_server.address.port
         result = await self.client.send(
             state.Address("127.0.0.1", port),
             method,
--- a/tests/serving_streams.py
+++ b/tests/serving_streams.py
@@ -85,7 +85,7 @@
         if self.first_id is not None:
             headers.append(("last-event-id", str(self.last_id)))
             headers.append(("resumes", self.first_id))
-        port = entry.request_server.server.sockets[0].getsockname()[1]
+        port = entry.request_server.address.port
         sent = await self.fleet.client.send(
             state.Address("127.0.0.1", port),
             "POST",
--- a/tests/test_serving_odd_values.py
+++ b/tests/test_serving_odd_values.py
@@ -164,7 +164,7 @@
 
 
 async def test_a_length_of_many_digits_is_refused(fleet):
-    port = fleet.entries[0].request_server.server.sockets[0].getsockname()[1]
+    port = fleet.entries[0].request_server.address.port
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     head = f"POST /p/1 HTTP/1.1\r\nhost: h\r\ncontent-length: {DIGITS}\r\n\r\n"
     writer.write(head.encode())
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -27,7 +27,7 @@
 
     async def open(self, fleet):
         entry = fleet.entries[0]
-        port = entry.request_server.server.sockets[0].getsockname()[1]
+        port = entry.request_server.address.port
         self.reader, self.writer = await asyncio.open_connection(
             "127.0.0.1", port
         )
