Bound the descriptors of a whole process

What callers saw: 600 connections or 40 askers for short streams took 1,051 descriptors of 1,000 and 156 of 120; silent clients of the metrics page or of the store relay took 224 of 120. A process out of descriptors serves nobody.

Cause: only the listener for requests had a bound. Connections to upstreams had none beyond 64 idle ones an upstream; metrics and relay took 4,000 whatever the machine; each bound was a share of the machine's memory and none knew what the process itself uses.

coordination/clients/shares.py divides the machine, beside the measured resident set, among all listeners, the connections to upstreams and lots. The client of requests has a bound of its own: the connection that has been idle longest is closed, or a client that holds one and does not use it, or the request waits as long as for a connection and is then refused as not run. Calls of the instance itself, probes among them, have other connections, and a refusal counts as trouble of no upstream.

--- a/poplarloft/coordination/clients/__init__.py
+++ b/poplarloft/coordination/clients/__init__.py
@@ -8,7 +8,20 @@
 
 from poplarloft.coordination.clients.holds import ClientHold
 from poplarloft.coordination.clients.holds import Phase
+from poplarloft.coordination.clients.shares import ListenerShare
+from poplarloft.coordination.clients.shares import Machine
+from poplarloft.coordination.clients.shares import MachineShares
+from poplarloft.coordination.clients.shares import share_machine
 from poplarloft.coordination.clients.table import BodyDecision
 from poplarloft.coordination.clients.table import ClientTable
 
-__all__ = ["BodyDecision", "ClientHold", "ClientTable", "Phase"]
+__all__ = [
+    "BodyDecision",
+    "ClientHold",
+    "ClientTable",
+    "ListenerShare",
+    "Machine",
+    "MachineShares",
+    "Phase",
+    "share_machine",
+]
--- /dev/null
+++ b/poplarloft/coordination/clients/shares.py
@@ -0,0 +1,142 @@
+"""Shares of a machine's memory and descriptors for what clients cause."""
+
+import dataclasses
+
+__all__ = ["ListenerShare", "Machine", "MachineShares", "share_machine"]
+
+BYTES_PER_MB = 1_000_000
+MIB = 1_048_576
+DEFAULT_BASE_BYTES = 60 * BYTES_PER_MB  # where it can't be measured
+# At least so much of the memory counts as free, however large the base is.
+MIN_FREE_SHARE = 0.1
+# Of the free memory. The rest is for what the instance itself comes to
+# hold, and for memory that can't be given back at once.
+CONNECTION_MEMORY = 0.15
+REQUEST_MEMORY = 0.35
+LOT_MEMORY = 0.15
+RELAY_MEMORY = 0.05
+CONTROL_MEMORY = 0.02
+CONNECTION_BYTES = 20_000  # of a connection that holds nothing
+# Descriptors of files, listeners, peers and the store.
+RESERVED_SHARE = 0.2
+MIN_RESERVED = 60
+# Of the other descriptors.
+REQUEST_DESCRIPTORS = 0.65
+CHANNEL_DESCRIPTORS = 0.2
+RELAY_DESCRIPTORS = 0.05
+CONTROL_DESCRIPTORS = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Machine:
+    """The figures of a machine, None where they are not known.
+
+    Parameters
+    ----------
+    memory_mb : int or None
+        Memory of the process, in MB.
+    max_descriptors : int or None
+        Number of descriptors that the process may open.
+    base_bytes : int or None
+        Memory that the process uses before it has served anybody.
+    """
+
+    memory_mb: int | None = None
+    max_descriptors: int | None = None
+    base_bytes: int | None = None
+
+    @property
+    def free_bytes(self) -> int | None:
+        """Memory beside what the process uses itself."""
+        if self.memory_mb is None:
+            return None
+        memory_bytes = self.memory_mb * BYTES_PER_MB
+        base_bytes = self.base_bytes or DEFAULT_BASE_BYTES
+        least_bytes = int(MIN_FREE_SHARE * memory_bytes)
+        return max(least_bytes, memory_bytes - base_bytes)
+
+    @property
+    def free_descriptors(self) -> int | None:
+        """Descriptors beside those that the process needs itself."""
+        if self.max_descriptors is None:
+            return None
+        reserved = max(
+            MIN_RESERVED, int(RESERVED_SHARE * self.max_descriptors)
+        )
+        return max(1, self.max_descriptors - reserved)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenerShare:
+    """What the clients of one listener may take.
+
+    Parameters
+    ----------
+    max_connections : int
+        Number of connections.
+    max_bytes : int
+        Memory held for all connections, beside what each costs idle.
+    """
+
+    max_connections: int
+    max_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MachineShares:
+    """What all clients of an instance may take.
+
+    Parameters
+    ----------
+    requests, relay, control : ListenerShare
+        Of the listeners for requests, for other instances, and for
+        readiness and metrics each.
+    lot_bytes : int
+        Memory for lots that are being accepted and read.
+    max_channels : int or None
+        Number of connections to upstreams; None for no bound.
+    """
+
+    requests: ListenerShare = ListenerShare(4_000, 256 * MIB)
+    relay: ListenerShare = ListenerShare(1_000, 64 * MIB)
+    control: ListenerShare = ListenerShare(100, 16 * MIB)
+    lot_bytes: int = 256 * MIB
+    max_channels: int | None = None
+
+
+def share_machine(machine: Machine) -> MachineShares:
+    """Return the shares of a machine, the defaults where it has no figure.
+
+    No share is larger than the default.
+    """
+    most = MachineShares()
+    channels = None
+    if machine.free_descriptors is not None:
+        channels = max(1, int(CHANNEL_DESCRIPTORS * machine.free_descriptors))
+    lot_bytes = most.lot_bytes
+    if machine.free_bytes is not None:
+        lot_bytes = min(lot_bytes, int(LOT_MEMORY * machine.free_bytes))
+    return MachineShares(
+        _share(machine, most.requests, REQUEST_DESCRIPTORS, REQUEST_MEMORY),
+        _share(machine, most.relay, RELAY_DESCRIPTORS, RELAY_MEMORY),
+        _share(machine, most.control, CONTROL_DESCRIPTORS, CONTROL_MEMORY),
+        lot_bytes,
+        channels,
+    )
+
+
+def _share(
+    machine: Machine,
+    most: ListenerShare,
+    of_descriptors: float,
+    of_memory: float,
+) -> ListenerShare:
+    connections = [most.max_connections]
+    held_bytes = most.max_bytes
+    if machine.free_bytes is not None:
+        held_bytes = min(held_bytes, int(of_memory * machine.free_bytes))
+        connection_bytes = CONNECTION_MEMORY * machine.free_bytes
+        connections.append(int(connection_bytes / CONNECTION_BYTES))
+    if machine.free_descriptors is not None:
+        connections.append(int(of_descriptors * machine.free_descriptors))
+    return ListenerShare(max(1, min(connections)), held_bytes)
--- a/poplarloft/coordination/retries.py
+++ b/poplarloft/coordination/retries.py
@@ -22,9 +22,11 @@
 
     ``REFUSED_WITH_PROOF``: the upstream's response guarantees that it did
     not run the request. ``REFUSED_WITHOUT_PROOF``: the response leaves that
-    open.
+    open. ``NO_CONNECTION_FREE``: this instance has as many connections open
+    as it may have, which says nothing of the upstream.
     """
 
+    NO_CONNECTION_FREE = "no-connection-free"
     CONNECT_REFUSED = "connect-refused"
     CONNECT_TIMEOUT = "connect-timeout"
     RESET_BEFORE_SEND = "reset-before-send"
@@ -38,6 +40,7 @@
 
 _NOT_RUN_KINDS = frozenset(
     {
+        FailureKind.NO_CONNECTION_FREE,
         FailureKind.CONNECT_REFUSED,
         FailureKind.CONNECT_TIMEOUT,
         FailureKind.RESET_BEFORE_SEND,
--- a/poplarloft/daemon/dispatch.py
+++ b/poplarloft/daemon/dispatch.py
@@ -28,6 +28,12 @@
 # Interval at which a suspect without an upstream looks for one again.
 SUSPECT_WAIT_MS = 100
 MS_PER_S = 1_000
+NO_TROUBLE_KINDS = frozenset(
+    {
+        coordination.FailureKind.REFUSED_WITH_PROOF,
+        coordination.FailureKind.NO_CONNECTION_FREE,
+    }
+)
 RESET_KINDS = frozenset(
     {
         coordination.FailureKind.RESET_AFTER_SEND,
@@ -285,7 +291,7 @@
         self, upstream: state.Upstream, kind: coordination.FailureKind
     ) -> None:
         is_down = kind is coordination.FailureKind.CONNECT_REFUSED
-        if kind is not coordination.FailureKind.REFUSED_WITH_PROOF:
+        if kind not in NO_TROUBLE_KINDS:
             self.health.on_failure(upstream.name, is_down)
         if kind in RESET_KINDS:
             await self._check_crash(upstream)
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -2,6 +2,7 @@
 
 import random
 
+from poplarloft.coordination import clients
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving.fleet import leaving_link
 from poplarloft.daemon.serving.fleet import peer_link
@@ -17,8 +18,10 @@
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 from poplarloft.transport import http_client
+from poplarloft.transport import http_server
+from poplarloft.transport import process_memory
 
-__all__ = ["ServingBase"]
+__all__ = ["ServingBase", "machine_shares"]
 
 FAR_MS = 60.0
 NEAR_MS = 2.0
@@ -29,6 +32,19 @@
 LIVE_SETTINGS = frozenset({"store", "regions", "grace_s", "drain_notice_ms"})
 
 
+def machine_shares(
+    settings: serving_settings.ServingSettings,
+) -> clients.MachineShares:
+    """Return what clients may take of the machine of this process."""
+    return clients.share_machine(
+        clients.Machine(
+            settings.memory_mb,
+            settings.max_descriptors,
+            process_memory.resident_bytes(),
+        )
+    )
+
+
 class ServingBase:
     """Base class of the entry and the bulk daemon.
 
@@ -51,14 +67,24 @@
         self.wall_clock = state.WallClock()
         self.rng = random.Random()
         self.task_set = tasks.TaskSet()
+        self.shares = machine_shares(settings)
         self.client = http_client.HttpClient(CONNECT_TIMEOUT_MS)
+        # Requests of clients have connections of their own, so that the
+        # calls of this instance do not wait for them.
+        self.request_client = http_client.HttpClient(
+            CONNECT_TIMEOUT_MS, max_connections=self.shares.max_channels
+        )
         self.store = store_relay.RelayedStore(
             self.client,
             addresses.parse_address(settings.store),
             serving.AccessPathSelector(self.clock, self.rng),
         )
         self.relay = store_relay.CallRelay(
-            self.client, self.store, settings.name, self.issues_permits
+            self.client,
+            self.store,
+            settings.name,
+            self.issues_permits,
+            http_server.share_limits(self.shares.relay),
         )
         self.peers = peer_link.PeerLink()
         self.limits = upstream_limits.UpstreamLimits(
@@ -107,7 +133,12 @@
             sampler_view,
         )
         notes = response_notes.ResponseNotes(self.limits, leaving)
-        return samplers.SamplerClient(self.client, notes)
+        return samplers.SamplerClient(self.client, notes, self.request_client)
+
+    def close_clients(self) -> None:
+        """Close the idle connections to the store and to upstreams."""
+        self.client.close()
+        self.request_client.close()
 
     async def start_relay(self) -> None:
         """Start relaying store calls of peers if `relay_listen` is set."""
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -116,7 +116,7 @@
         await self.task_set.cancel_all()
         await self.relay.stop()
         self.peers.close()
-        self.client.close()
+        self.close_clients()
         eliot.log_message("stopped", store_calls=self.store.calls)
 
     def _make_leader(self, fence: int) -> cell_leader.CellLeader:
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -108,11 +108,17 @@
         )
         self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
-        self.client_limits = http_server.machine_limits(
-            settings.memory_mb, settings.max_descriptors
+        self.client_limits = http_server.share_limits(self.shares.requests)
+        self.request_server = self._make_server(
+            self.handle, self.client_limits
+        )
+        self.readiness_server = self._make_server(
+            self.answer_readiness,
+            http_server.share_limits(self.shares.control),
+        )
+        self.request_client.on_exhausted = (
+            self.request_server.buffers.free_channel
         )
-        self.request_server = self._make_server(self.handle)
-        self.readiness_server = self._make_server(self.answer_readiness)
         self.operator.listeners.append(self._apply_limits)
         self.samplers.listeners.append(
             lambda: self.limits.follow(self.samplers.registry)
@@ -210,7 +216,7 @@
         await self.relay.stop()
         await self.task_set.cancel_all()
         self.peers.close()
-        self.client.close()
+        self.close_clients()
         eliot.log_message("stopped", cut=cut, store_calls=self.store.calls)
 
     @property
@@ -352,11 +358,11 @@
         return ingress.refusal_response(refusal)
 
     def _make_server(
-        self, handler: http_server.Handler
+        self, handler: http_server.Handler, limits: http_server.ServerLimits
     ) -> http_server.HttpServer:
         return http_server.HttpServer(
             handler,
-            self.client_limits,
+            limits,
             self._max_body_bytes,
             cancel_on_disconnect=True,
             may_stream=self._may_stream,
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from poplarloft.daemon.serving import base
 from poplarloft.daemon.serving import bulk
 from poplarloft.daemon.serving import entry
 from poplarloft.daemon.serving import reloading
@@ -14,6 +15,7 @@
 from poplarloft.protocol import addresses
 from poplarloft.protocol import serving_settings
 from poplarloft import state
+from poplarloft.transport import http_server
 
 __all__ = ["run_platform"]
 
@@ -27,7 +29,12 @@
         If a setting is invalid.
     """
     settings = serving_settings.load_serving_settings(arguments)
-    recorder = telemetry.Telemetry(state.MonotonicClock(), settings.name)
+    shares = base.machine_shares(settings)
+    recorder = telemetry.Telemetry(
+        state.MonotonicClock(),
+        settings.name,
+        limits=http_server.share_limits(shares.control),
+    )
     recorder.install()
     asyncio.run(_run(settings, arguments, recorder))
     recorder.summarize()
--- a/poplarloft/daemon/serving/requests/attempt_history.py
+++ b/poplarloft/daemon/serving/requests/attempt_history.py
@@ -83,6 +83,11 @@
         self.refusal = state.Reason.STOPPING
         self.detail = "this instance stops before the request has ended"
 
+    def on_exhausted(self, detail: str) -> None:
+        """Give the request up, since no connection is free for it."""
+        self.refusal = state.Reason.OVERLOADED
+        self.detail = detail
+
     def reason(self, is_late: bool) -> state.Reason:
         """Return why the request gets no response of an upstream.
 
--- a/poplarloft/daemon/serving/requests/forwarding.py
+++ b/poplarloft/daemon/serving/requests/forwarding.py
@@ -320,6 +320,9 @@
         history: attempt_history.AttemptHistory,
     ) -> None:
         """Record a failed attempt, and find out whether it was a crash."""
+        if failure.kind is FailureKind.NO_CONNECTION_FREE:
+            history.on_exhausted(failure.detail)
+            return
         request_id = identified.call.id
         verdict = retries.verdict_of(failure.kind)
         if verdict is not state.Verdict.NOT_RUN:
--- a/poplarloft/daemon/serving/store/store_relay.py
+++ b/poplarloft/daemon/serving/store/store_relay.py
@@ -226,6 +226,8 @@
         Name of this daemon.
     issues_permits : bool
         Whether this daemon offers to issue permits.
+    limits : http_server.ServerLimits
+        Limits on the peers.
 
     Attributes
     ----------
@@ -241,6 +243,7 @@
         store: RelayedStore,
         name: str,
         issues_permits: bool,
+        limits: http_server.ServerLimits,
     ) -> None:
         self.client = client
         self.store = store
@@ -254,7 +257,7 @@
         self.relayed_calls = 0
         self.server = http_server.HttpServer(
             self.handle,
-            http_server.ServerLimits(),
+            limits,
             lambda path: MAX_CALL_BYTES,
             cancel_on_disconnect=True,
         )
--- a/poplarloft/daemon/serving/telemetry.py
+++ b/poplarloft/daemon/serving/telemetry.py
@@ -36,6 +36,8 @@
         Name of this daemon, added to each line.
     output : log_output.LogOutput or None
         Destination of lines; standard output if None.
+    limits : http_server.ServerLimits or None
+        Limits on the clients of the metrics page; the defaults if None.
     """
 
     def __init__(
@@ -43,13 +45,16 @@
         clock: state.Clock,
         name: str,
         output: log_output.LogOutput | None = None,
+        limits: http_server.ServerLimits | None = None,
     ) -> None:
         self.rate_limiter = log_rate_limit.LogRateLimiter(clock)
         self.output = output or log_output.LogOutput(sys.stdout.fileno())
         self.page = metrics_page.MetricsPage()
         self.name = name
         self.server = http_server.HttpServer(
-            self._answer, http_server.ServerLimits(), lambda path: 0
+            self._answer,
+            limits or http_server.ServerLimits(),
+            lambda path: 0,
         )
 
     def install(self) -> None:
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -81,16 +81,23 @@
     Parameters
     ----------
     client : http_client.HttpClient
-        Pooled connections.
+        Pooled connections for reports, probes and orders.
     observer : ResponseObserver
         Learns what upstreams say of themselves.
+    request_client : http_client.HttpClient or None
+        Pooled connections for requests, items and scores; None for those
+        of `client`.
     """
 
     def __init__(
-        self, client: http_client.HttpClient, observer: ResponseObserver
+        self,
+        client: http_client.HttpClient,
+        observer: ResponseObserver,
+        request_client: http_client.HttpClient | None = None,
     ) -> None:
         self.client = client
         self.observer = observer
+        self.request_client = request_client or client
 
     async def forward(
         self,
@@ -282,7 +289,7 @@
 
         A misdirected request was answered by another upstream.
         """
-        sent = await self.client.send(
+        sent = await self.request_client.send(
             sampler.address,
             method,
             target,
--- a/poplarloft/transport/acceptor.py
+++ b/poplarloft/transport/acceptor.py
@@ -72,9 +72,12 @@
 
     def _on_readable(self) -> None:
         """Accept what one turn of the event loop may take."""
-        most = self.buffers.table.max_connections + ACCEPTS_PER_TURN
-        for _ in range(ACCEPTS_PER_TURN):
-            if self.buffers.open_count >= most or not self._accept_one():
+        places = self.buffers.table.max_connections
+        at_once = max(1, min(ACCEPTS_PER_TURN, places // 2))
+        for _ in range(at_once):
+            if self.buffers.open_count >= places + at_once:
+                return
+            if not self._accept_one():
                 return
 
     def _accept_one(self) -> bool:
--- a/poplarloft/transport/connections.py
+++ b/poplarloft/transport/connections.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP/1.1 connection."""
 
 import asyncio
+from collections import abc
 import re
 import select
 import socket
@@ -147,13 +148,33 @@
         return self.http.next_event()
 
 
+class _Protocol(asyncio.StreamReaderProtocol):
+    """Tells when the connection's socket is closed."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, on_lost: abc.Callable[[], None]
+    ) -> None:
+        super().__init__(reader)
+        self.on_lost = on_lost
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Pass the loss on."""
+        super().connection_lost(exc)
+        self.on_lost()
+
+
 async def open_connection(
-    address: state.Address, tls: ssl.SSLContext | None
+    address: state.Address,
+    tls: ssl.SSLContext | None,
+    on_lost: abc.Callable[[], None] = lambda: None,
 ) -> Connection:
-    """Connect to an address; raises `OSError` if that fails."""
+    """Connect to an address; raises `OSError` if that fails.
+
+    `on_lost` is called once a connection that was made is closed.
+    """
     loop = asyncio.get_running_loop()
     reader = counting_reader.CountingReader(BUFFER_BYTES)
-    protocol = asyncio.StreamReaderProtocol(reader)
+    protocol = _Protocol(reader, on_lost)
     transport, _ = await loop.create_connection(
         lambda: protocol, address.host, address.port, ssl=tls
     )
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -11,6 +11,7 @@
 from poplarloft.protocol import errors as protocol_errors
 from poplarloft.protocol import http
 from poplarloft import state
+from poplarloft.transport import connection_slots
 from poplarloft.transport import connections
 from poplarloft.transport import errors
 from poplarloft.transport import responses
@@ -40,6 +41,14 @@
         Maximum number of idle connections per address.
     tls : ssl.SSLContext or None
         TLS context; None for unencrypted connections.
+    max_connections : int or None
+        Maximum number of connections to all addresses. Beyond it, the one
+        that has been idle longest is closed, or else a request waits.
+
+    Attributes
+    ----------
+    on_exhausted : callable
+        Called when a request has to wait for a connection.
     """
 
     def __init__(
@@ -47,7 +56,12 @@
         connect_timeout_ms: int = 1_000,
         max_idle: int = 64,
         tls: ssl.SSLContext | None = None,
+        max_connections: int | None = None,
     ) -> None:
+        self.slots = connection_slots.ConnectionSlots(max_connections)
+        self.on_exhausted: abc.Callable[[], object] = lambda: None
+        # Those idle longest come first.
+        self.idle_addresses: dict[connections.Connection, state.Address] = {}
         self.connect_timeout_ms = connect_timeout_ms
         self.max_idle = max_idle
         self.tls = tls
@@ -109,12 +123,17 @@
         It is also closed if the pool has `max_idle` connections.
         """
         idle = self.idle.setdefault(address, [])
-        if not connection.is_reusable() or len(idle) >= self.max_idle:
+        if (
+            not connection.is_reusable()
+            or len(idle) >= self.max_idle
+            or self.slots.is_awaited
+        ):
             connection.close()
             return
         connection.http.start_next_cycle()
         connection.set_idle(True)
         idle.append(connection)
+        self.idle_addresses[connection] = address
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -124,21 +143,59 @@
     def close_idle(self, address: state.Address) -> None:
         """Close the idle connections to an address."""
         for connection in self.idle.pop(address, []):
+            del self.idle_addresses[connection]
             connection.close()
 
-    async def _open(
-        self, address: state.Address, new_connection: bool
-    ) -> result.Result[connections.Connection, errors.TransportFailure]:
+    def _take_idle(
+        self, address: state.Address
+    ) -> connections.Connection | None:
+        """Return an idle connection that can take a request, if any."""
         idle = self.idle.get(address, [])
-        while idle and not new_connection:
+        while idle:
             connection = idle.pop()
+            del self.idle_addresses[connection]
             if connection.is_open():
                 connection.set_idle(False)
-                return result.Success(connection)
+                return connection
             connection.close()
+        return None
+
+    async def _take_slot(self) -> connection_slots.Slot:
+        """Take the slot of a new connection, which may have to wait."""
+        if not self.slots.is_free:
+            longest_idle = next(iter(self.idle_addresses), None)
+            if longest_idle is None:
+                self.on_exhausted()
+            else:
+                address = self.idle_addresses.pop(longest_idle)
+                self.idle[address].remove(longest_idle)
+                longest_idle.close()
+        return await self.slots.take()
+
+    async def _open(
+        self, address: state.Address, new_connection: bool
+    ) -> result.Result[connections.Connection, errors.TransportFailure]:
+        if not new_connection:
+            connection = self._take_idle(address)
+            if connection is not None:
+                return result.Success(connection)
+        timeout_s = self.connect_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                slot = await self._take_slot()
+        except TimeoutError:
+            return result.Failure(
+                errors.TransportFailure(
+                    FailureKind.NO_CONNECTION_FREE,
+                    f"no connection was free in {self.connect_timeout_ms} ms",
+                )
+            )
+        opened = None
         try:
-            async with asyncio.timeout(self.connect_timeout_ms / MS_PER_S):
-                opened = await connections.open_connection(address, self.tls)
+            async with asyncio.timeout(timeout_s):
+                opened = await connections.open_connection(
+                    address, self.tls, slot.release
+                )
         except TimeoutError:
             return result.Failure(
                 errors.TransportFailure(
@@ -152,6 +209,9 @@
                     FailureKind.CONNECT_REFUSED, str(error)
                 )
             )
+        finally:
+            if opened is None:
+                slot.release()
         return result.Success(opened)
 
     async def _exchange(
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -18,7 +18,7 @@
 from poplarloft.transport import server_limits
 from poplarloft.transport import turns
 
-__all__ = ["Handler", "HttpServer", "ServerLimits", "machine_limits"]
+__all__ = ["Handler", "HttpServer", "ServerLimits", "share_limits"]
 
 MAX_BACKLOG = 1_024
 SENT_AHEAD_PER_TURN = 8  # requests
@@ -27,7 +27,7 @@
 Handler = http_session.Handler
 BodyLimit = request_reader.BodyLimit
 ServerLimits = server_limits.ServerLimits
-machine_limits = server_limits.machine_limits
+share_limits = server_limits.share_limits
 
 
 class HttpServer:
--- a/poplarloft/transport/server_limits.py
+++ b/poplarloft/transport/server_limits.py
@@ -4,25 +4,21 @@
 
 import h11
 
+from poplarloft.coordination import clients
 from poplarloft import state
 
 __all__ = [
     "RequestRefusedError",
     "ServerLimits",
     "bad_request",
-    "machine_limits",
     "malformed",
     "no_memory",
+    "share_limits",
     "too_large",
     "too_slow",
 ]
 
 
-BYTES_PER_MB = 1_000_000
-CLIENT_SHARE = 0.25  # of the memory, for what clients make a server hold
-CONNECTION_BYTES = 25_000  # of a connection that holds nothing
-RESERVED_DESCRIPTORS = 60  # files, listeners, peers and the store
-CONNECTION_SHARE = 0.75  # of the descriptors; the rest is for upstreams
 MEMORY_RETRY_MS = 500
 
 
@@ -103,32 +99,11 @@
     return RequestRefusedError(refusal, 503)
 
 
-def machine_limits(
-    memory_mb: int | None, max_descriptors: int | None
-) -> ServerLimits:
-    """Return the limits for a machine, the defaults where it has none.
-
-    Parameters
-    ----------
-    memory_mb : int or None
-        Memory of the process, in MB.
-    max_descriptors : int or None
-        Number of descriptors that the process may open.
-    """
-    limits = ServerLimits()
-    connections = [limits.max_connections]
-    held_bytes = limits.max_held_bytes
-    if memory_mb is not None:
-        share_bytes = int(CLIENT_SHARE * memory_mb * BYTES_PER_MB)
-        held_bytes = min(held_bytes, share_bytes)
-        connections.append(share_bytes // CONNECTION_BYTES)
-    if max_descriptors is not None:
-        free = max(1, max_descriptors - RESERVED_DESCRIPTORS)
-        connections.append(int(CONNECTION_SHARE * free))
-    return dataclasses.replace(
-        limits,
-        max_connections=max(1, min(connections)),
-        max_held_bytes=held_bytes,
+def share_limits(share: clients.ListenerShare) -> ServerLimits:
+    """Return the limits of a listener with this share of the machine."""
+    return ServerLimits(
+        max_connections=share.max_connections,
+        max_held_bytes=share.max_bytes,
     )
 
 
--- a/poplarloft/transport/tests/test_http_client.py
+++ b/poplarloft/transport/tests/test_http_client.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from poplarloft.coordination import retries
+from poplarloft.protocol import http
 from poplarloft import state
 from poplarloft.transport import http_client
+from poplarloft.transport import http_server
 
+FailureKind = retries.FailureKind
 MAX_BYTES = 100_000
 KILOBYTES_OF_GROWTH = 50_000
 COPY_DELAY_S = 0.05
@@ -183,3 +187,40 @@
         with pytest.raises(http_client.TruncatedResponseError):
             async for _ in streamed.chunks():
                 pass
+
+
+async def test_connections_beyond_the_bound_wait_or_end_an_idle_one():
+    served = asyncio.Event()
+
+    async def handler(request):
+        if request.path == "/slow":
+            await served.wait()
+        return http.HttpResponse(200)
+
+    servers = [
+        http_server.HttpServer(
+            handler, http_server.ServerLimits(), lambda path: 0
+        )
+        for _ in range(2)
+    ]
+    loopback = state.Address("127.0.0.1", 0)
+    first, second = [await server.start(loopback) for server in servers]
+    client = http_client.HttpClient(100, max_connections=1)
+    exhausted = []
+    client.on_exhausted = lambda: exhausted.append(client.slots.taken)
+    for address in (first, second):  # the idle connection makes room
+        sent = await client.send(address, "GET", "/")
+        await sent.unwrap().read(1)
+    slow = asyncio.create_task(client.send(second, "GET", "/slow"))
+    await asyncio.sleep(0)
+    refused = await client.send(first, "GET", "/")
+    assert refused.failure().kind is FailureKind.NO_CONNECTION_FREE
+    assert exhausted == [1]
+    waiting = asyncio.create_task(client.send(first, "GET", "/"))
+    served.set()
+    await (await slow).unwrap().read(1)
+    assert (await waiting).unwrap().status == 200
+    client.close()
+    for server in servers:
+        await server.drain(0)
+    assert client.slots.taken <= 1
