Free channels to upstreams that nobody uses

What callers saw: while 200 clients sent bodies that never end, ordinary requests got no answer, then 503 once channels were bounded.

Cause: a streamed body holds its channel to the upstream as long as its client likes. Whoever waited for a channel asked once for room; those before it in the queue took what was freed. Connections that themselves waited for a channel were closed for it. A queue of 39 connections that waited to be accepted overflowed, so that ordinary clients tried again a second later.

--- a/poplarloft/transport/connection_slots.py
+++ b/poplarloft/transport/connection_slots.py
@@ -37,6 +37,11 @@
             collections.deque()
         )
 
+    @property
+    def is_bounded(self) -> bool:
+        """Whether there is a bound."""
+        return not math.isinf(self.count)
+
     @property
     def is_free(self) -> bool:
         """Whether a slot can be taken at once."""
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -11,6 +11,7 @@
 from poplarloft.protocol import errors as protocol_errors
 from poplarloft.protocol import http
 from poplarloft import state
+from poplarloft.transport import channel_notes
 from poplarloft.transport import connection_slots
 from poplarloft.transport import connections
 from poplarloft.transport import errors
@@ -23,6 +24,7 @@
     "UpstreamResponse",
 ]
 
+ROOM_INTERVAL_S = 0.05  # between two requests for room by one that waits
 MS_PER_S = 1_000
 FailureKind = retries.FailureKind
 ResponseTooLargeError = responses.ResponseTooLargeError
@@ -104,6 +106,8 @@
         opened = await self._open(address, new_connection)
         match opened:
             case result.Success(connection):
+                if self.slots.is_bounded:
+                    channel_notes.on_channel.get()()
                 return await self._exchange(
                     address,
                     connection,
@@ -161,16 +165,34 @@
         return None
 
     async def _take_slot(self) -> connection_slots.Slot:
-        """Take the slot of a new connection, which may have to wait."""
-        if not self.slots.is_free:
-            longest_idle = next(iter(self.idle_addresses), None)
-            if longest_idle is None:
-                self.on_exhausted()
-            else:
-                address = self.idle_addresses.pop(longest_idle)
-                self.idle[address].remove(longest_idle)
-                longest_idle.close()
-        return await self.slots.take()
+        """Take the slot of a new connection, which may have to wait.
+
+        Each request that waits asks for room again and again, so that as
+        many connections end as are needed.
+        """
+        if self.slots.is_free:
+            return await self.slots.take()
+        loop = asyncio.get_running_loop()
+        taking = loop.create_task(self.slots.take())
+        try:
+            while not taking.done():
+                self._make_room()
+                await asyncio.wait({taking}, timeout=ROOM_INTERVAL_S)
+            return taking.result()
+        except asyncio.CancelledError:
+            taking.add_done_callback(_give_back)
+            taking.cancel()
+            raise
+
+    def _make_room(self) -> None:
+        """Close the connection that is idle longest, or ask for room."""
+        longest_idle = next(iter(self.idle_addresses), None)
+        if longest_idle is None:
+            self.on_exhausted()
+            return
+        address = self.idle_addresses.pop(longest_idle)
+        self.idle[address].remove(longest_idle)
+        longest_idle.close()
 
     async def _open(
         self, address: state.Address, new_connection: bool
@@ -275,6 +297,12 @@
         await connection.writer.drain()
 
 
+def _give_back(taking: "asyncio.Task[connection_slots.Slot]") -> None:
+    """Release a slot that nobody waits for any more."""
+    if not taking.cancelled():
+        taking.result().release()
+
+
 def _request(
     address: state.Address,
     method: str,
--- a/poplarloft/transport/http_session.py
+++ b/poplarloft/transport/http_session.py
@@ -10,6 +10,7 @@
 from poplarloft.coordination import clients
 from poplarloft.protocol import http
 from poplarloft import state
+from poplarloft.transport import channel_notes
 from poplarloft.transport import client_buffers
 from poplarloft.transport import client_stream
 from poplarloft.transport import request_reader
@@ -137,7 +138,7 @@
     def _serving(self) -> abc.Iterator[None]:
         """Cancel the session if its client leaves in the meantime."""
         self.is_serving = True
-        self.buffer.set_channel(True)
+        token = channel_notes.on_channel.set(self._on_channel)
         if self.server.cancel_on_disconnect:
             self.stream.set_end_listener(self._on_departure)
         try:
@@ -146,6 +147,10 @@
             self.is_serving = False
             self.stream.set_end_listener(None)
             self.buffer.set_channel(False)
+            channel_notes.on_channel.reset(token)
+
+    def _on_channel(self) -> None:
+        self.buffer.set_channel(True)
 
     def _on_departure(self) -> None:
         if self.is_serving and self.task is not None:
