Take lots in with bounded memory, a few items a turn

What callers saw: 40 clients handed in lots of 7,000 items of 60 bytes; the daemon's resident set rose to 247 MB on a machine of 160 MB, and nobody else was served while a lot was decoded.

Cause: only the bytes of the body were counted. Each item costs its object, its headers and a check, and a lot is held as a document, as a record and as the call to the store; all of it was decoded in one turn.

A lot waits up to a second for memory, reckoned from its bytes and braces (no object is without one), and is refused as not run after that; a single lot is always taken in. 32 items are decoded a turn.

--- a/poplarloft/coordination/clients/__init__.py
+++ b/poplarloft/coordination/clients/__init__.py
@@ -8,6 +8,7 @@
 
 from poplarloft.coordination.clients.holds import ClientHold
 from poplarloft.coordination.clients.holds import Phase
+from poplarloft.coordination.clients.quota import MemoryQuota
 from poplarloft.coordination.clients.shares import ListenerShare
 from poplarloft.coordination.clients.shares import Machine
 from poplarloft.coordination.clients.shares import MachineShares
@@ -22,6 +23,7 @@
     "ListenerShare",
     "Machine",
     "MachineShares",
+    "MemoryQuota",
     "Phase",
     "share_machine",
 ]
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -18,15 +18,15 @@
 from poplarloft.daemon.serving.requests import crash_news
 from poplarloft.daemon.serving.requests import forwarding
 from poplarloft.daemon.serving.requests import upstream_choice
+from poplarloft.daemon.serving.rollouts import lot_intake
+from poplarloft.daemon.serving.rollouts import lot_requests
 from poplarloft.daemon.serving.rollouts import lot_service
 from poplarloft.daemon.serving.store import view
 from poplarloft.platform import ingress
-from poplarloft.platform import lots
 from poplarloft.platform import samplers
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
 from poplarloft.protocol import http
-from poplarloft.protocol import lot_records
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 from poplarloft.transport import http_server
@@ -98,6 +98,10 @@
             int(settings.lot_kept_s * MS_PER_S),
             self.notify_leader,
         )
+        self.lot_requests = lot_requests.LotRequests(
+            self.lot_service,
+            lot_intake.LotIntake(self.lot_service, self.shares.lot_bytes),
+        )
         self.gate = account_gate.AccountGate(
             self.clock,
             self.operator,
@@ -261,7 +265,7 @@
         if lot_call is not None:
             match await self.gate.admit(request, is_public=False):
                 case result.Success(caller):
-                    return await self._handle_lot_call(lot_call, caller)
+                    return await self.lot_requests.answer(lot_call, caller)
                 case result.Failure(refusal):
                     return ingress.refusal_response(refusal)
         configuration = self.operator.configuration
@@ -293,7 +297,7 @@
     ) -> http.HttpResponse:
         """Answer a request of an admitted caller to a route."""
         if route.kind is state.RouteKind.LOTS:
-            return await self._accept_lot(request, caller)
+            return await self.lot_requests.accept(request, caller)
         if not self.guard.news.is_read.is_set():
             return self._refuse(
                 request, state.Reason.NOT_READY, "crash news not read yet"
@@ -304,41 +308,6 @@
         call = ingress.forwarded_call(request, caller)
         return await self.forwarder.handle(call, route)
 
-    async def _accept_lot(
-        self, request: http.HttpRequest, caller: state.Caller | None
-    ) -> http.HttpResponse:
-        lot_id = lot_records.check_lot_id(ingress.request_id(request))
-        host = ingress.request_host(request)
-        lot = lots.decode_lot(lot_id, host, request.path, request.body, caller)
-        refusal = await self.lot_service.accept(lot)
-        if refusal is not None:
-            return ingress.refusal_response(refusal)
-        return ingress.plain_response(202)
-
-    async def _handle_lot_call(
-        self,
-        call: ingress.ReadLot | ingress.ReadItem | ingress.EndLot,
-        caller: state.Caller | None,
-    ) -> http.HttpResponse:
-        lot_records.check_lot_id(call.lot_id)
-        match call:
-            case ingress.ReadLot():
-                return ingress.results_response(
-                    await self.lot_service.read(call, caller)
-                )
-            case ingress.EndLot(lot_id):
-                refusal = await self.lot_service.end(lot_id, caller)
-                if refusal is not None:
-                    return ingress.refusal_response(refusal)
-                return ingress.plain_response(200)
-            case ingress.ReadItem():
-                match await self.lot_service.item_body(call, caller):
-                    case result.Success(body):
-                        return ingress.plain_response(200, body)
-                    case result.Failure(failure):
-                        return ingress.refusal_response(failure)
-        raise AssertionError(call)
-
     def _refuse(
         self, request: http.HttpRequest, reason: state.Reason, detail: str
     ) -> http.HttpResponse:
--- a/poplarloft/platform/lots.py
+++ b/poplarloft/platform/lots.py
@@ -3,6 +3,8 @@
 import base64
 import binascii
 from collections import abc
+import dataclasses
+import itertools
 
 import h11
 import msgspec
@@ -13,7 +15,15 @@
 from poplarloft.protocol import numbers
 from poplarloft import state
 
-__all__ = ["decode_lot", "encode_results"]
+__all__ = [
+    "LotDecoder",
+    "LotSource",
+    "decoding_bytes",
+    "encode_results",
+]
+
+BODY_COPIES = 8  # decoded, as a record, and as the call to the store
+OBJECT_BYTES = 700
 
 STATES = {
     state.ItemState.COMPLETED: "completed",
@@ -50,39 +60,83 @@
     )
 
 
-def decode_lot(
-    lot_id: str,
-    host: str,
-    path: str,
-    body: bytes,
-    caller: state.Caller | None = None,
-) -> state.Lot:
-    """Return the lot in the body of a request of `caller`.
+@dataclasses.dataclass(frozen=True, slots=True)
+class LotSource:
+    """The request of a caller that hands a lot in."""
+
+    lot_id: str
+    host: str
+    path: str
+    body: bytes
+    caller: state.Caller | None = None
+
+
+def decoding_bytes(body: bytes) -> int:
+    """Return how much memory it takes at most to decode and store a lot.
+
+    Each object in the document begins with a brace, and none without.
+    """
+    return BODY_COPIES * len(body) + OBJECT_BYTES * body.count(b"{")
+
+
+class LotDecoder:
+    """Decodes a lot step by step, as each item takes some time.
+
+    Parameters
+    ----------
+    source : LotSource
+        The request.
 
     Raises
     ------
     FieldError
         If a field is missing or has an invalid value.
     """
-    document = errors.decoded(
-        "lot", lambda: msgspec.json.decode(body, type=_Lot)
-    )
-    if not document.items:
-        raise errors.FieldError("items", "expected at least one item")
-    items = tuple(_item(host, row) for row in document.items)
-    if len({item.id for item in items}) < len(items):
-        raise errors.FieldError("items", "two items have the same id")
-    return state.Lot(
-        lot_id,
-        host,
-        path,
-        document.model,
-        document.step,
-        document.min_version,
-        document.group_count,
-        items,
-        "" if caller is None else caller.account,
-    )
+
+    def __init__(self, source: LotSource) -> None:
+        self.source = source
+        self.document = errors.decoded(
+            "lot", lambda: msgspec.json.decode(source.body, type=_Lot)
+        )
+        if not self.document.items:
+            raise errors.FieldError("items", "expected at least one item")
+        self.rows = iter(self.document.items)
+        self.items: list[state.LotItem] = []
+
+    def decode_items(self, count: int) -> bool:
+        """Decode up to `count` more items; return whether any is left.
+
+        Raises
+        ------
+        FieldError
+            If an item has an invalid value.
+        """
+        rows = itertools.islice(self.rows, count)
+        self.items += [_item(self.source.host, row) for row in rows]
+        return len(self.items) < len(self.document.items)
+
+    def lot(self) -> state.Lot:
+        """Return the lot, all items of which have been decoded.
+
+        Raises
+        ------
+        FieldError
+            If two items have the same identifier.
+        """
+        if len({item.id for item in self.items}) < len(self.items):
+            raise errors.FieldError("items", "two items have the same id")
+        caller = self.source.caller
+        return state.Lot(
+            self.source.lot_id,
+            self.source.host,
+            self.source.path,
+            self.document.model,
+            self.document.step,
+            self.document.min_version,
+            self.document.group_count,
+            tuple(self.items),
+            "" if caller is None else caller.account,
+        )
 
 
 def encode_results(page: state.ResultPage) -> bytes:
--- a/tests/test_serving_documents.py
+++ b/tests/test_serving_documents.py
@@ -19,7 +19,10 @@
 
 
 def decode_lot(value):
-    return lots.decode_lot("lot", "h", "/l/x", value)
+    decoder = lots.LotDecoder(lots.LotSource("lot", "h", "/l/x", value))
+    while decoder.decode_items(1):
+        pass
+    return decoder.lot()
 
 
 DOCUMENTS = [
