Bound the connections of peers

What was seen: 200 silent connections to the socket for messages of other instances took 224 descriptors of 120.

Cause: ZeroMQ accepts whatever connects, and waited 30 s for a handshake.

The socket's monitor reports the descriptor of each connection. One beyond the bound is shut down at once, by a copy of its descriptor that is checked to be a connection of this port; ZeroMQ then closes it itself. A connection that says nothing for 2 s ends. Peers have a quarter of the descriptors beside the reserve, the listeners and channels less than before.

--- a/poplarloft/coordination/clients/shares.py
+++ b/poplarloft/coordination/clients/shares.py
@@ -17,12 +17,13 @@
 RELAY_MEMORY = 0.05
 CONTROL_MEMORY = 0.02
 CONNECTION_BYTES = 20_000  # of a connection that holds nothing
-# Descriptors of files, listeners, peers and the store.
+# Descriptors of files, listeners, the store, and calls of its own.
 RESERVED_SHARE = 0.2
 MIN_RESERVED = 60
 # Of the other descriptors.
-REQUEST_DESCRIPTORS = 0.65
-CHANNEL_DESCRIPTORS = 0.2
+REQUEST_DESCRIPTORS = 0.5
+CHANNEL_DESCRIPTORS = 0.15
+PEER_DESCRIPTORS = 0.25
 RELAY_DESCRIPTORS = 0.05
 CONTROL_DESCRIPTORS = 0.02
 
@@ -95,6 +96,8 @@
         Memory for lots that are being accepted and read.
     max_channels : int or None
         Number of connections to upstreams; None for no bound.
+    max_peers : int
+        Number of connections that other instances make for messages.
     """
 
     requests: ListenerShare = ListenerShare(4_000, 256 * MIB)
@@ -102,6 +105,7 @@
     control: ListenerShare = ListenerShare(100, 16 * MIB)
     lot_bytes: int = 256 * MIB
     max_channels: int | None = None
+    max_peers: int = 2_000
 
 
 def share_machine(machine: Machine) -> MachineShares:
@@ -111,8 +115,11 @@
     """
     most = MachineShares()
     channels = None
+    peers = most.max_peers
     if machine.free_descriptors is not None:
         channels = max(1, int(CHANNEL_DESCRIPTORS * machine.free_descriptors))
+        share = int(PEER_DESCRIPTORS * machine.free_descriptors)
+        peers = max(1, min(peers, share))
     lot_bytes = most.lot_bytes
     if machine.free_bytes is not None:
         lot_bytes = min(lot_bytes, int(LOT_MEMORY * machine.free_bytes))
@@ -122,6 +129,7 @@
         _share(machine, most.control, CONTROL_DESCRIPTORS, CONTROL_MEMORY),
         lot_bytes,
         channels,
+        peers,
     )
 
 
--- a/poplarloft/coordination/clients/tests/test_shares.py
+++ b/poplarloft/coordination/clients/tests/test_shares.py
@@ -31,5 +31,6 @@
     held = sum(share.max_bytes for share in listeners) + shares.lot_bytes
     assert base_mb * BYTES_PER_MB + held <= memory_mb * BYTES_PER_MB
     opened = sum(share.max_connections for share in listeners)
-    assert opened + shares.max_channels < descriptors
+    opened += shares.max_channels + shares.max_peers
+    assert opened < descriptors
     assert min(share.max_connections for share in listeners) >= 1
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -86,7 +86,7 @@
             self.issues_permits,
             http_server.share_limits(self.shares.relay),
         )
-        self.peers = peer_link.PeerLink()
+        self.peers = peer_link.PeerLink(self.shares.max_peers)
         self.limits = upstream_limits.UpstreamLimits(
             settings.name,
             self.peers,
--- a/poplarloft/daemon/serving/fleet/peer_link.py
+++ b/poplarloft/daemon/serving/fleet/peer_link.py
@@ -20,10 +20,18 @@
 
 
 class PeerLink:
-    """One daemon's sockets for messages from and to its peers."""
+    """One daemon's sockets for messages from and to its peers.
 
-    def __init__(self) -> None:
-        self.sockets = peers.PeerSockets(self._on_message)
+    Parameters
+    ----------
+    max_connections : int
+        Number of connections of peers that may be open.
+    """
+
+    def __init__(self, max_connections: int = peers.MAX_CONNECTIONS) -> None:
+        self.sockets = peers.PeerSockets(
+            self._on_message, max_connections=max_connections
+        )
         self.handlers: dict[
             type[object], abc.Callable[[typing.Any], None]
         ] = {}
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -12,6 +12,7 @@
 import zmq.auth.asyncio
 
 from poplarloft import state
+from poplarloft.transport import peer_connections
 
 __all__ = ["CurveKeys", "PeerSockets"]
 
@@ -21,6 +22,8 @@
 RETRANSMIT_TIMEOUT_MS = 3_000
 MAX_MESSAGES_PER_TURN = 100  # then other tasks of the event loop run
 MAX_MESSAGE_BYTES = 2_000_000
+HANDSHAKE_TIMEOUT_MS = 2_000  # then a connection that says nothing ends
+MAX_CONNECTIONS = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,13 +62,18 @@
         passed to the event loop's exception handler.
     keys : CurveKeys or None
         Keys for CURVE; None for unencrypted sockets.
+    max_connections : int
+        Number of connections of peers that may be open.
     """
 
     def __init__(
         self,
         on_message: abc.Callable[[bytes], None],
         keys: CurveKeys | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
+        self.max_connections = max_connections
+        self.connections: peer_connections.PeerConnections | None = None
         self.on_message = on_message
         self.keys = keys
         self.context = zmq.Context()
@@ -81,6 +89,7 @@
         receiver: zmq.Socket[bytes] = self.context.socket(zmq.PULL)
         receiver.setsockopt(zmq.LINGER, 0)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        receiver.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         self._enable_curve(receiver)
         endpoint = f"tcp://{address.host}:{address.port or '*'}"
         receiver.bind(endpoint)
@@ -88,6 +97,9 @@
         assert isinstance(bound, bytes)
         port = int(bound.decode().rstrip("\0").rpartition(":")[2])
         self.receiver = receiver
+        self.connections = peer_connections.PeerConnections(
+            receiver, port, self.max_connections
+        )
         return state.Address(address.host, port)
 
     def start(self) -> None:
@@ -96,6 +108,8 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self.receiver.fileno(), self._on_readable)
         loop.call_soon(self._on_readable)
+        if self.connections is not None:
+            self.connections.start()
 
     def _on_readable(self) -> None:
         """Receive the messages that have arrived, a bounded number a turn.
@@ -161,6 +175,9 @@
         """Close all sockets and stop the authentication of clients."""
         for address, _ in list(self.senders):
             self.disconnect(address)
+        followed, self.connections = self.connections, None
+        if followed is not None:
+            followed.close()
         receiver, self.receiver = self.receiver, None
         if receiver is not None:
             asyncio.get_running_loop().remove_reader(receiver.fileno())
