Hold only as many lots as there is memory for

What was seen: 40 lots of 7,000 small items each, handed in one after the other and all accepted, took the leader to 236 MB on a machine of 160 MB, with 34 of them read; each further lot would have added to it. A new test in tests/test_serving_crowds.py failed so before this change.

Cause: every bulk daemon held the records of all lots that the store has, also of those whose results are all recorded.

A lot beyond the bound stays in the store until others have ended (small ones first, large ones have half of the memory at most); its record is dropped once all results are recorded. While as much waits as may be held, the leader says so in its announcement, and entries refuse new lots as not run, with Retry-After. Nothing that was accepted is lost.

Ruled out: a bound at the entries alone, which do not know what has ended. Left: the listing of all lots, when a bulk daemon starts, is read whole.

Measured: the test passes; with it the tests of lots, items and hints.

--- a/poplarloft/coordination/clients/shares.py
+++ b/poplarloft/coordination/clients/shares.py
@@ -14,7 +14,7 @@
 CONNECTION_MEMORY = 0.15
 REQUEST_MEMORY = 0.35
 LOT_MEMORY = 0.15
-RELAY_MEMORY = 0.05
+RELAY_MEMORY = 0.12
 CONTROL_MEMORY = 0.02
 CONNECTION_BYTES = 20_000  # of a connection that holds nothing
 # Descriptors of files, listeners, the store, and calls of its own.
@@ -93,7 +93,7 @@
         Of the listeners for requests, for other instances, and for
         readiness and metrics each.
     lot_bytes : int
-        Memory for lots that are being accepted and read.
+        Memory for lots that are being taken in, or are run.
     max_channels : int or None
         Number of connections to upstreams; None for no bound.
     max_peers : int
--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -30,12 +30,15 @@
 from poplarloft.coordination.serving.requests import VerdictKind
 from poplarloft.coordination.serving.rollouts import CheckpointCollector
 from poplarloft.coordination.serving.rollouts import CheckpointPlan
+from poplarloft.coordination.serving.rollouts import DEFAULT_LOT_BYTES
 from poplarloft.coordination.serving.rollouts import EngineId
 from poplarloft.coordination.serving.rollouts import EngineView
 from poplarloft.coordination.serving.rollouts import EventOrderError
+from poplarloft.coordination.serving.rollouts import held_bytes
 from poplarloft.coordination.serving.rollouts import INITIAL_EVENT_INTERVAL_MS
 from poplarloft.coordination.serving.rollouts import ItemOutput
 from poplarloft.coordination.serving.rollouts import LoadVersion
+from poplarloft.coordination.serving.rollouts import LotBacklog
 from poplarloft.coordination.serving.rollouts import LotPlan
 from poplarloft.coordination.serving.rollouts import OutputTooLargeError
 from poplarloft.coordination.serving.rollouts import Planner
@@ -63,6 +66,7 @@
     "Balancer",
     "CheckpointCollector",
     "CheckpointPlan",
+    "DEFAULT_LOT_BYTES",
     "DIRECT",
     "DueReport",
     "EngineId",
@@ -78,6 +82,7 @@
     "LimitTable",
     "LoadVersion",
     "LostRuns",
+    "LotBacklog",
     "LotPlan",
     "MAX_GAP_MS",
     "OrderLock",
@@ -106,6 +111,7 @@
     "WriteBatch",
     "WriteHolder",
     "allowed_services",
+    "held_bytes",
     "notice_recipients",
     "rank_issuers",
     "rank_services",
--- a/poplarloft/coordination/serving/leadership/leader_location.py
+++ b/poplarloft/coordination/serving/leadership/leader_location.py
@@ -39,8 +39,17 @@
 
     def address(self) -> state.Address | None:
         """Return the leader's address, None if not announced recently."""
-        if self.newest is None:
-            return None
+        recent = self._recent()
+        return None if recent is None else recent.address
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the leader has as many lots waiting as it may have."""
+        recent = self._recent()
+        return recent is not None and recent.is_full
+
+    def _recent(self) -> state.LeaderAnnouncement | None:
+        """Return the announcement, None if it is too old."""
         if self.clock.now_ms() - self.announced_at_ms > ANNOUNCEMENT_VALID_MS:
             return None
-        return self.newest.address
+        return self.newest
--- a/poplarloft/coordination/serving/rollouts/__init__.py
+++ b/poplarloft/coordination/serving/rollouts/__init__.py
@@ -12,6 +12,11 @@
 from poplarloft.coordination.serving.rollouts.engine_view import (
     INITIAL_EVENT_INTERVAL_MS,
 )
+from poplarloft.coordination.serving.rollouts.lot_backlog import (
+    DEFAULT_LOT_BYTES,
+)
+from poplarloft.coordination.serving.rollouts.lot_backlog import held_bytes
+from poplarloft.coordination.serving.rollouts.lot_backlog import LotBacklog
 from poplarloft.coordination.serving.rollouts.lot_plan import LotPlan
 from poplarloft.coordination.serving.rollouts.outputs import EventOrderError
 from poplarloft.coordination.serving.rollouts.outputs import ItemOutput
@@ -31,6 +36,9 @@
 )
 
 __all__ = [
+    "DEFAULT_LOT_BYTES",
+    "LotBacklog",
+    "held_bytes",
     "CheckpointCollector",
     "CheckpointPlan",
     "EngineId",
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -57,7 +57,9 @@
         self.feed = feed_link.FeedLink(
             self.clock, settings.name, MAX_CHANGE_DELAY_MS, self.peers
         )
-        self.views = store_views.StoreViews.make(self.clock, self.last_use_ms)
+        self.views = store_views.StoreViews.make(
+            self.clock, self.last_use_ms, self.shares.lot_bytes
+        )
         self.sampler_client = self.make_sampler_client(self.views.samplers)
         self.views.operator.listeners.append(self._confirm_retirements)
         self.views.samplers.listeners.append(
@@ -192,7 +194,9 @@
             )
             if scheduler is not None and scheduler.fence:
                 message = state.LeaderAnnouncement(
-                    scheduler.fence, self.peers.address
+                    scheduler.fence,
+                    self.peers.address,
+                    self.views.lots.backlog.is_full,
                 )
                 for member in self.relay.members.values():
                     if member.feed is not None:
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -100,7 +100,11 @@
         )
         self.lot_requests = lot_requests.LotRequests(
             self.lot_service,
-            lot_intake.LotIntake(self.lot_service, self.shares.lot_bytes),
+            lot_intake.LotIntake(
+                self.lot_service,
+                self.shares.lot_bytes,
+                lambda: self.leader_location.is_full,
+            ),
         )
         self.gate = account_gate.AccountGate(
             self.clock,
--- a/poplarloft/daemon/serving/rollouts/lot_intake.py
+++ b/poplarloft/daemon/serving/rollouts/lot_intake.py
@@ -1,6 +1,7 @@
 """Takes lots in, with bounded memory and short turns of the event loop."""
 
 import asyncio
+from collections import abc
 
 import eliot
 
@@ -13,7 +14,8 @@
 
 ITEMS_PER_TURN = 32
 MAX_WAIT_S = 1.0  # for memory, while other lots are taken in
-RETRY_AFTER_MS = 500
+MEMORY_RETRY_MS = 500
+FULL_RETRY_MS = 2_000
 
 
 class LotIntake:
@@ -29,12 +31,18 @@
         Stores the lots.
     max_bytes : int
         Memory for all lots that are being taken in.
+    is_full : callable
+        Returns whether so many lots wait that none should be accepted.
     """
 
     def __init__(
-        self, service: lot_service.LotService, max_bytes: int
+        self,
+        service: lot_service.LotService,
+        max_bytes: int,
+        is_full: abc.Callable[[], bool],
     ) -> None:
         self.service = service
+        self.is_full = is_full
         self.quota = clients.MemoryQuota(max_bytes)
 
     async def accept(self, source: lots.LotSource) -> state.Refusal | None:
@@ -45,20 +53,14 @@
         FieldError
             If the lot is malformed.
         """
+        if self.is_full():
+            return _refusal(source.lot_id, "too many lots wait", FULL_RETRY_MS)
         size = lots.decoding_bytes(source.body)
         if not await self._take(size):
-            eliot.log_message(
-                "lot-refused",
-                request=source.lot_id,
-                reason=state.Reason.OVERLOADED.value,
-                needed_bytes=size,
-                taken_bytes=self.quota.taken_bytes,
-            )
-            return state.Refusal(
-                state.Reason.OVERLOADED,
-                state.Verdict.NOT_RUN,
-                f"no memory to take lot {source.lot_id!r} in at the moment",
-                RETRY_AFTER_MS,
+            return _refusal(
+                source.lot_id,
+                f"no memory for a lot of {size} bytes",
+                MEMORY_RETRY_MS,
             )
         try:
             return await self.service.accept(await self._decode(source))
@@ -85,3 +87,19 @@
             has_more = decoder.decode_items(ITEMS_PER_TURN)
             await asyncio.sleep(0)
         return decoder.lot()
+
+
+def _refusal(lot_id: str, detail: str, retry_after_ms: int) -> state.Refusal:
+    """Log and return the refusal of a lot, none of which has run."""
+    eliot.log_message(
+        "lot-refused",
+        request=lot_id,
+        reason=state.Reason.OVERLOADED.value,
+        detail=detail,
+    )
+    return state.Refusal(
+        state.Reason.OVERLOADED,
+        state.Verdict.NOT_RUN,
+        f"lot {lot_id!r} can't be taken in now: {detail}",
+        retry_after_ms,
+    )
--- a/poplarloft/daemon/serving/rollouts/lot_scheduler.py
+++ b/poplarloft/daemon/serving/rollouts/lot_scheduler.py
@@ -96,6 +96,7 @@
         self.operator_view = views.operator
         self.sampler_view = views.samplers
         self.lots_view = views.lots
+        self.views = views
         self.checkpoints = checkpoints
         self.planner = serving.Planner(clock, is_near, limits.rate_of)
         self.checkpoint_store = checkpoint_store.CheckpointStore(
@@ -148,7 +149,7 @@
         """
         if self.is_stopped:
             return
-        for listeners in self._listeners():
+        for listeners in self.views.listeners():
             listeners.append(self.wake)
         self.lots_view.listener = self
         for record in list(self.lots_view.records.values()):
@@ -174,7 +175,7 @@
         if not self.is_stopped:
             self.is_stopped = True
             self.lots_view.listener = None
-            for listeners in self._listeners():
+            for listeners in self.views.listeners():
                 if self.wake in listeners:
                     listeners.remove(self.wake)
         await self.task_set.cancel_all()
@@ -203,10 +204,13 @@
             writer.close()
         loop = asyncio.get_running_loop()
         for output in self.planner.end_lot(lot_id):
-            loop.call_later(RUN_GRACE_MS / MS_PER_S, self._cancel_run, output)
-            loop.call_later(
-                REWARD_GRACE_MS / MS_PER_S, self._cancel_scoring, output
-            )
+            for grace_ms, work in (
+                (RUN_GRACE_MS, self.generator),
+                (REWARD_GRACE_MS, self.scoring),
+            ):
+                loop.call_later(
+                    grace_ms / MS_PER_S, self._cancel_unused, work, output
+                )
             loop.call_later(
                 OUTPUT_REUSE_MS / MS_PER_S, self.planner.drop_reusable, output
             )
@@ -239,9 +243,6 @@
             self.is_wake_scheduled = True
             asyncio.get_running_loop().call_soon(self._decide)
 
-    def _listeners(self) -> tuple[list[abc.Callable[[], None]], ...]:
-        return self.operator_view.listeners, self.sampler_view.listeners
-
     def _decide(self) -> None:
         """Plan new lots, send orders for weights and start items."""
         self.is_wake_scheduled = False
@@ -252,15 +253,10 @@
             return
         for target in self.operator_view.targets.values():
             self.weights.load_planner.update_target(target)
+        self._forget_finished()
         self._plan_waiting(configuration)
         self.planner.update_routes(configuration)
-        engines = [
-            sampler
-            for service in configuration.services.values()
-            if service.is_engine
-            for sampler in self.sampler_view.registry.of_service(service.name)
-        ]
-        self.planner.update_engines(engines)
+        self.planner.update_engines(self.views.engines())
         self.weights.send_orders()
         for start in self.planner.next_starts():
             self.generator.start(start)
@@ -319,7 +315,7 @@
                 continue
             self.weights.load_planner.update_allowed_lag(record.lot)
             route = configuration.find_lot_route(record.lot)
-            if writer.log.is_complete or route is None:
+            if route is None:
                 continue
             age_ms = self.wall_clock.now_ms() - record.accepted_at_ms
             plan = self.planner.add_lot(
@@ -373,16 +369,23 @@
             self.scoring.cancel(output.item.id)
         if log.is_complete:
             self.planner.end_lot(lot_id)
+            self.wake()
 
-    def _cancel_run(self, output: serving.ItemOutput) -> None:
-        """Cancel the run of a reusable output that no lot has continued."""
-        if self.planner.reusable.get(output.item.id) is output:
-            self.generator.cancel(output.item.id)
+    def _forget_finished(self) -> None:
+        """Free the memory of lots of which all results are recorded."""
+        for lot_id, writer in list(self.result_writers.items()):
+            if writer.log.is_complete and lot_id not in self.planner.lots:
+                self.result_writers.pop(lot_id).close()
+                self.lots_view.on_finished(lot_id)
 
-    def _cancel_scoring(self, output: serving.ItemOutput) -> None:
-        """Cancel the reward call of an output that no lot has continued."""
+    def _cancel_unused(
+        self,
+        work: generation.OutputGenerator | scoring.ScoringTasks,
+        output: serving.ItemOutput,
+    ) -> None:
+        """Cancel work on a reusable output that no lot has continued."""
         if self.planner.reusable.get(output.item.id) is output:
-            self.scoring.cancel(output.item.id)
+            work.cancel(output.item.id)
 
     def _expire_items(self) -> None:
         """Fail items that are given up."""
--- a/poplarloft/state/standby.py
+++ b/poplarloft/state/standby.py
@@ -121,10 +121,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderAnnouncement:
-    """Announcement of the leader's address to all daemons."""
+    """Announcement of the leader's address to all daemons.
+
+    `is_full` is whether so many lots wait that no more should be accepted.
+    """
 
     fence: int
     address: identity.Address
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -94,12 +94,17 @@
     return block
 
 
+def lot_body():
+    """Return a lot of very small items."""
+    items = ",".join(ITEM_ROW % (n, n) for n in range(ITEMS))
+    return ('{"model":"m","items":[' + items + "]}").encode()
+
+
 def lot(connection):
     """Return a request that hands in a lot of very small items."""
-    items = ",".join(ITEM_ROW % (n, n) for n in range(ITEMS))
-    body = '{"model":"m","items":[' + items + "]}"
+    body = lot_body()
     named = f"X-Request-Id: lot-{connection}-{time.monotonic_ns()}"
-    return head("/l/x", named, f"Content-Length: {len(body)}") + body.encode()
+    return head("/l/x", named, f"Content-Length: {len(body)}") + body
 
 
 def chunks(size):
--- a/tests/test_serving_crowds.py
+++ b/tests/test_serving_crowds.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from poplarloft.protocol import lot_records
 from poplarloft.transport import http_client
 from poplarloft_soak import processes
 from standins import revision_store
@@ -27,6 +28,8 @@
 BYTES_PER_MB = 1_000_000
 START_TIMEOUT_S = 30
 SAMPLE_S = 0.01
+HINTS_S = 2.0  # for the last lots to reach the leader
+LOTS = 40
 LISTENING = "0A"  # its queue counts connections
 
 
@@ -76,17 +79,29 @@
         self.folder = folder
         self.metrics_address = processes.free_address()
         self.client = http_client.HttpClient()
+        self.bulk = None
         self.most_descriptors = 0
         self.most_kernel_bytes = 0
 
+    async def start_bulk(self):
+        """Start a bulk daemon, which leads."""
+        self.bulk = processes.DaemonProcess(
+            "bulk-0", "bulk", self.store_address, self.folder
+        )
+        os.environ.pop("POPLARLOFT_METRICS_LISTEN")
+        self.bulk.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while lot_records.LEADER_KEY not in self.store.entries:
+                await asyncio.sleep(0.05)
+
     async def start(self):
         os.environ["POPLARLOFT_METRICS_LISTEN"] = str(self.metrics_address)
-        store_address = await self.store.start()
+        self.store_address = await self.store.start()
         await self.upstream.start()
         await self.store.put("op/config", serving_fleet.configuration())
         await self.store.put("servers/s0", self.upstream.announcement("app"))
         self.daemon = processes.DaemonProcess(
-            "entry-0", "entry", store_address, self.folder
+            "entry-0", "entry", self.store_address, self.folder
         )
         self.daemon.start()
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -134,6 +149,21 @@
         await response.read(ANSWER_BYTES)
         return response.status
 
+    async def hand_in(self, number):
+        """Hand a lot of very small items in; return the status."""
+        sent = await self.client.send(
+            self.daemon.request_address,
+            "POST",
+            "/l/x",
+            (("host", crowd.HOST), ("x-request-id", f"lot-{number}")),
+            crowd.lot_body(),
+        )
+        response = sent.value_or(None)
+        if response is None:
+            return 0
+        await response.read(ANSWER_BYTES)
+        return response.status
+
     async def ready_status(self):
         """Return the status of the readiness probe."""
         address = self.daemon.readiness_address
@@ -169,8 +199,16 @@
             self.most_kernel_bytes // 10**6,
             self.most_descriptors,
         )
+        print(
+            "PEAK",
+            peak_memory_bytes(self.pid) // 10**6,
+            self.most_kernel_bytes // 10**6,
+            self.most_descriptors,
+        )
         self.sampling.cancel()
         self.daemon.end()
+        if self.bulk is not None:
+            self.bulk.end()
         self.client.close()
         await self.upstream.stop()
         await self.store.stop()
@@ -193,12 +231,9 @@
     await made.stop()
 
 
-@pytest.mark.parametrize("form", crowd.FORMS)
-async def test_crowd_is_borne(entry, form):
-    # Guards against resources that are bounded for each client only.
-    played = crowd.FORMS[form]
-    address = entry.listener(played.listener)
-    attackers = await asyncio.create_subprocess_exec(
+async def start_crowd(form, address):
+    """Start a crowd as a process."""
+    return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "tests.crowd",
@@ -208,6 +243,13 @@
         stdout=asyncio.subprocess.PIPE,
         cwd=ROOT,
     )
+
+
+@pytest.mark.parametrize("form", crowd.FORMS)
+async def test_crowd_is_borne(entry, form):
+    # Guards against resources that are bounded for each client only.
+    played = crowd.FORMS[form]
+    attackers = await start_crowd(form, entry.listener(played.listener))
     try:
         assert int(await attackers.stdout.readline()) >= 0
         assert await entry.ordinary_status() == 200
@@ -218,3 +260,19 @@
         await attackers.wait()
     assert await entry.ordinary_status() == 200
     entry.check_bounds(played.machine)
+
+
+@pytest.mark.parametrize("form", ["small-items"])
+async def test_lots_of_a_crowd_are_borne_by_the_leader(entry, form):
+    # Guards against a leader that holds all that entries have accepted.
+    await entry.start_bulk()
+    for number in range(LOTS):
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while await entry.hand_in(number) != 202:
+                await asyncio.sleep(0.05)
+    await asyncio.sleep(HINTS_S)
+    assert entry.bulk.is_running
+    machine = crowd.FORMS[form].machine
+    held = peak_memory_bytes(entry.bulk.process.pid)
+    assert held < machine.memory_mb * BYTES_PER_MB
+    entry.check_bounds(machine)
