Count what the kernel holds of clients

What was seen (trial, the users' 300 MB and 4,100 descriptors): 2,000 clients that send ahead took 142 MB and 192 MB more in the kernel; 600 with 1,500 headers a request 161 MB on a machine of 160 MB.

Cause: the kernel's buffer for what a client sends was 64 KiB on each connection whatever their number, doubled by the kernel, and only counted for clients that are held back.

The buffer's size follows from the machine's memory, the places and the connections that may wait to be accepted; up to 64 connections are accepted in a turn, and at least 512 may wait, so that ordinary clients are not lost in the queue of a burst.

--- a/poplarloft/coordination/clients/shares.py
+++ b/poplarloft/coordination/clients/shares.py
@@ -12,10 +12,16 @@
 # Of the free memory. The rest is for what the instance itself comes to
 # hold, and for memory that can't be given back at once.
 CONNECTION_MEMORY = 0.15
-REQUEST_MEMORY = 0.35
+REQUEST_MEMORY = 0.3
 LOT_MEMORY = 0.15
-RELAY_MEMORY = 0.12
+RELAY_MEMORY = 0.1
 CONTROL_MEMORY = 0.02
+# Of the memory for a listener's connections: as much again in the kernel.
+KERNEL_SHARE = 0.5
+MIN_RECEIVE_BYTES = 32_768
+MIN_BACKLOG = 512
+MAX_BACKLOG = 1_024
+CONTROL_BACKLOG = 128
 CONNECTION_BYTES = 20_000  # of a connection that holds nothing
 # Descriptors of files, listeners, the store, and calls of its own.
 RESERVED_SHARE = 0.2
@@ -77,10 +83,17 @@
         Number of connections.
     max_bytes : int
         Memory held for all connections, beside what each costs idle.
+    backlog : int
+        Number of connections that may wait to be accepted.
+    receive_bytes : int
+        What the kernel holds at most of what a client has sent, and the
+        process has not read.
     """
 
     max_connections: int
     max_bytes: int
+    backlog: int = MAX_BACKLOG
+    receive_bytes: int = 131_072
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,8 +114,8 @@
     """
 
     requests: ListenerShare = ListenerShare(4_000, 256 * MIB)
-    relay: ListenerShare = ListenerShare(1_000, 64 * MIB)
-    control: ListenerShare = ListenerShare(100, 16 * MIB)
+    relay: ListenerShare = ListenerShare(1_000, 64 * MIB, CONTROL_BACKLOG)
+    control: ListenerShare = ListenerShare(100, 16 * MIB, CONTROL_BACKLOG)
     lot_bytes: int = 256 * MIB
     max_channels: int | None = None
     max_peers: int = 2_000
@@ -147,4 +160,12 @@
         connections.append(int(connection_bytes / CONNECTION_BYTES))
     if machine.free_descriptors is not None:
         connections.append(int(of_descriptors * machine.free_descriptors))
-    return ListenerShare(max(1, min(connections)), held_bytes)
+    places = max(1, min(connections))
+    # The process knows nothing of those that wait to be accepted.
+    backlog = min(most.backlog, max(MIN_BACKLOG, places))
+    receive_bytes = most.receive_bytes
+    if machine.free_bytes is not None:
+        kernel_bytes = KERNEL_SHARE * of_memory * machine.free_bytes
+        share = int(kernel_bytes / (places + backlog))
+        receive_bytes = max(MIN_RECEIVE_BYTES, min(receive_bytes, share))
+    return ListenerShare(places, held_bytes, backlog, receive_bytes)
--- a/poplarloft/transport/acceptor.py
+++ b/poplarloft/transport/acceptor.py
@@ -14,8 +14,9 @@
 
 # Also the number of connections that may be open above the bound, for a
 # moment: those that make room are closed in the next turn.
-ACCEPTS_PER_TURN = 16
+ACCEPTS_PER_TURN = 64
 RETRY_S = 0.1  # after the process could not open another descriptor
+KERNEL_FACTOR = 2  # by which the kernel makes a buffer larger than asked
 # What is queued in the kernel for a client that does not read.
 UNSENT_BYTES = 16_384
 
@@ -30,7 +31,7 @@
     backlog : int
         Number of connections that may wait to be accepted.
     receive_buffer_bytes : int
-        Size of the kernel's buffer for what a client sends.
+        What the kernel holds at most of what a client has sent.
     buffers : client_buffers.ClientBuffers
         The connections that are open, which may have to make room.
     on_accepted : callable
@@ -112,7 +113,9 @@
     # Accepted connections have the options of the listener.
     with contextlib.suppress(OSError):
         listener.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            receive_buffer_bytes // KERNEL_FACTOR,
         )
         listener.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -20,8 +20,6 @@
 
 __all__ = ["Handler", "HttpServer", "ServerLimits", "share_limits"]
 
-MIN_BACKLOG = 128
-MAX_BACKLOG = 1_024
 SENT_AHEAD_PER_TURN = 8  # requests
 CONNECTING_S = 0.5  # for handshakes that have begun before a stop
 MS_PER_S = 1_000
@@ -86,7 +84,7 @@
         """Listen on `address`; return it with the port that was bound."""
         self.acceptor = acceptor.Acceptor(
             address,
-            _backlog(self.limits.max_connections),
+            self.limits.backlog,
             self.limits.receive_buffer_bytes,
             self.buffers,
             self._accept,
@@ -162,14 +160,6 @@
         self.sessions.pop(task).close()
 
 
-def _backlog(max_connections: int) -> int:
-    """Return how many connections may wait to be accepted.
-
-    What their clients have sent stays in the kernel meanwhile.
-    """
-    return max(MIN_BACKLOG, min(MAX_BACKLOG, max_connections))
-
-
 def _log_closed(reason: str, hold: clients.ClientHold) -> None:
     eliot.log_message(
         "client-closed",
--- a/poplarloft/transport/server_limits.py
+++ b/poplarloft/transport/server_limits.py
@@ -44,8 +44,10 @@
         been idle longest is closed, or else the new one.
     max_held_bytes : int
         Maximum of what all connections together make the server hold.
+    backlog : int
+        Number of connections that may wait to be accepted.
     receive_buffer_bytes : int
-        Size of the kernel's buffer for what a client sends.
+        What the kernel holds at most of what a client has sent.
     """
 
     max_head_bytes: int = 16_384
@@ -56,7 +58,8 @@
     max_ahead_bytes: int = 65_536
     max_connections: int = 4_000
     max_held_bytes: int = 268_435_456
-    receive_buffer_bytes: int = 65_536
+    backlog: int = 1_024
+    receive_buffer_bytes: int = 131_072
 
 
 class RequestRefusedError(Exception):
@@ -104,6 +107,8 @@
     return ServerLimits(
         max_connections=share.max_connections,
         max_held_bytes=share.max_bytes,
+        backlog=share.backlog,
+        receive_buffer_bytes=share.receive_bytes,
     )
 
 
--- a/tests/test_serving_crowds.py
+++ b/tests/test_serving_crowds.py
@@ -205,6 +205,12 @@
             self.most_kernel_bytes // 10**6,
             self.most_descriptors,
         )
+        print(
+            "PEAK",
+            peak_memory_bytes(self.pid) // 10**6,
+            self.most_kernel_bytes // 10**6,
+            self.most_descriptors,
+        )
         self.sampling.cancel()
         self.daemon.end()
         if self.bulk is not None:
