Bound what is kept of lots that clients name

Now lots have a cache with a bound on memory, from which those not used for longest are dropped, and a failed read of an unknown lot leaves nothing. What is dropped is read from the store again.

The shares are set anew so that all of them, with what the kernel holds, stay under 0.82 of the free memory.

--- a/poplarloft/coordination/clients/shares.py
+++ b/poplarloft/coordination/clients/shares.py
@@ -11,18 +11,18 @@
 MIN_FREE_SHARE = 0.1
 # Of the free memory. The rest is for what the instance itself comes to
 # hold, and for memory that can't be given back at once.
-CONNECTION_MEMORY = 0.15
-REQUEST_MEMORY = 0.3
-LOT_MEMORY = 0.15
-RELAY_MEMORY = 0.1
-CONTROL_MEMORY = 0.02
+CONNECTION_MEMORY = 0.12
+REQUEST_MEMORY = 0.25
+LOT_MEMORY = 0.1
+RELAY_MEMORY = 0.06
+CONTROL_MEMORY = 0.01
 # Of the memory for a listener's connections: as much again in the kernel.
 KERNEL_SHARE = 0.5
 MIN_RECEIVE_BYTES = 32_768
 MIN_BACKLOG = 512
 MAX_BACKLOG = 1_024
 CONTROL_BACKLOG = 128
-CONNECTION_BYTES = 20_000  # of a connection that holds nothing
+CONNECTION_BYTES = 25_000  # of a connection that holds nothing
 # Descriptors of files, listeners, the store, and calls of its own.
 RESERVED_SHARE = 0.2
 MIN_RESERVED = 60
@@ -106,7 +106,8 @@
         Of the listeners for requests, for other instances, and for
         readiness and metrics each.
     lot_bytes : int
-        Memory for lots that are being taken in, or are run.
+        Memory for lots that are being taken in, for those that are run,
+        and for what was read of their results, each.
     max_channels : int or None
         Number of connections to upstreams; None for no bound.
     max_peers : int
--- a/poplarloft/coordination/clients/tests/test_shares.py
+++ b/poplarloft/coordination/clients/tests/test_shares.py
@@ -28,7 +28,7 @@
     machine = clients.Machine(memory_mb, descriptors, base_mb * BYTES_PER_MB)
     shares = clients.share_machine(machine)
     listeners = [shares.requests, shares.relay, *2 * [shares.control]]
-    held = sum(share.max_bytes for share in listeners) + shares.lot_bytes
+    held = sum(share.max_bytes for share in listeners) + 2 * shares.lot_bytes
     assert base_mb * BYTES_PER_MB + held <= memory_mb * BYTES_PER_MB
     opened = sum(share.max_connections for share in listeners)
     opened += shares.max_channels + shares.max_peers
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -97,6 +97,7 @@
             self.store,
             int(settings.lot_kept_s * MS_PER_S),
             self.notify_leader,
+            self.shares.lot_bytes,
         )
         self.lot_requests = lot_requests.LotRequests(
             self.lot_service,
--- a/poplarloft/daemon/serving/rollouts/lot_service.py
+++ b/poplarloft/daemon/serving/rollouts/lot_service.py
@@ -7,6 +7,8 @@
 import eliot
 from returns import result
 
+from poplarloft.coordination import serving
+from poplarloft.daemon.serving.rollouts import lot_cache
 from poplarloft.platform import ingress
 from poplarloft.protocol import errors
 from poplarloft.protocol import lot_records
@@ -25,34 +27,6 @@
 Status = state.WriteStatus
 
 
-@dataclasses.dataclass(slots=True)
-class _CachedLot:
-    """The part of a lot's results that this instance has read."""
-
-    head: state.LotHead | None = None
-    results: list[state.LotResult] = dataclasses.field(default_factory=list)
-    last_key: str = ""
-    revision: int = 0
-    record: state.LotRecord | None = None
-    used_at_ms: int = 0
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether the results of all items have been read."""
-        return self.head is not None and (len(self.results) >= self.head.total)
-
-    def add_entries(self, entries: abc.Iterable[state.Entry]) -> None:
-        """Append entries that follow those already read."""
-        for entry in entries:
-            if entry.key <= self.last_key:
-                continue
-            if self.head is None:
-                self.head = lot_records.decode_head(entry.value)
-            else:
-                self.results += lot_records.decode_batch(entry.value)
-            self.last_key = entry.key
-
-
 class LotService:
     """Answers trainers with what the store has acknowledged.
 
@@ -67,6 +41,8 @@
         after it.
     notify_leader : callable
         Sends the leader a hint of an accepted or ended lot.
+    max_bytes : int
+        Bound on the memory for what was read of lots.
     """
 
     def __init__(
@@ -76,13 +52,13 @@
         store: state.RevisionStore,
         retention_ms: int,
         notify_leader: abc.Callable[[state.ServingMessage], None],
+        max_bytes: int = serving.DEFAULT_LOT_BYTES,
     ) -> None:
         self.clock = clock
         self.wall_clock = wall_clock
         self.store = store
-        self.retention_ms = retention_ms
         self.notify_leader = notify_leader
-        self.cached_lots: dict[str, _CachedLot] = {}
+        self.cache = lot_cache.LotCache(clock, retention_ms, max_bytes)
 
     async def accept(self, lot: state.Lot) -> state.Refusal | None:
         """Store a lot; return None once the store has acknowledged it."""
@@ -129,13 +105,13 @@
 
         To a caller of another account, a lot does not exist.
         """
-        self._evict_unused()
-        cached = self.cached_lots.setdefault(call.lot_id, _CachedLot())
-        cached.used_at_ms = self.clock.now_ms()
+        cached = self.cache.use(call.lot_id)
         if not cached.is_complete and len(cached.results) <= call.position:
             wait_ms = min(call.wait_ms, MAX_WAIT_MS)
             failure = await self._refresh(call.lot_id, cached, wait_ms)
             if failure is not None:
+                if cached.head is None:
+                    self.cache.drop(call.lot_id)
                 eliot.log_message(
                     "lot-read-refused",
                     request=call.lot_id,
@@ -151,7 +127,7 @@
                     )
                 )
         if cached.head is None:
-            self.cached_lots.pop(call.lot_id, None)
+            self.cache.drop(call.lot_id)
             return _refused_page(_unknown_refusal(f"no lot {call.lot_id!r}"))
         if not cached.head.is_readable_by(caller):
             return _refused_page(_unknown_refusal(f"no lot {call.lot_id!r}"))
@@ -213,7 +189,7 @@
     ) -> state.Refusal | None:
         """Return why a caller may not end a lot, None if it may."""
         unknown = _unknown_refusal(f"no lot {lot_id!r}")
-        cached = self.cached_lots.get(lot_id)
+        cached = self.cache.find(lot_id)
         if cached is not None and cached.head is not None:
             return None if cached.head.is_readable_by(caller) else unknown
         found = await self.store.get(lot_records.head_key(lot_id))
@@ -221,8 +197,7 @@
             case result.Success(None):
                 return unknown
             case result.Success(state.Entry() as entry):
-                cached = self.cached_lots.setdefault(lot_id, _CachedLot())
-                cached.used_at_ms = self.clock.now_ms()
+                cached = self.cache.use(lot_id)
                 cached.add_entries([entry])
                 if cached.head and not cached.head.is_readable_by(caller):
                     return unknown
@@ -270,7 +245,7 @@
             await asyncio.sleep(WRITE_RETRY_MS / MS_PER_S)
 
     async def _refresh(
-        self, lot_id: str, cached: _CachedLot, wait_ms: int
+        self, lot_id: str, cached: lot_cache.CachedLot, wait_ms: int
     ) -> state.StoreFailure | None:
         """Read new entries; wait up to `wait_ms` for one."""
         prefix = lot_records.batches_prefix(lot_id)
@@ -286,7 +261,7 @@
         return await self._read_new_entries(prefix, cached)
 
     async def _read_new_entries(
-        self, prefix: str, cached: _CachedLot
+        self, prefix: str, cached: lot_cache.CachedLot
     ) -> state.StoreFailure | None:
         while True:
             page = await self.store.list_page(prefix, cached.last_key)
@@ -302,7 +277,7 @@
     async def _record(
         self, lot_id: str
     ) -> result.Result[state.LotRecord, state.Refusal]:
-        cached = self.cached_lots.get(lot_id)
+        cached = self.cache.find(lot_id)
         if cached is not None and cached.record is not None:
             return result.Success(cached.record)
         found = await self.store.get(lot_records.lot_key(lot_id))
@@ -320,9 +295,7 @@
                             f"{error}",
                         )
                     )
-                entry = self.cached_lots.setdefault(lot_id, _CachedLot())
-                entry.record = record
-                entry.used_at_ms = self.clock.now_ms()
+                self.cache.use(lot_id).set_record(record)
                 return result.Success(record)
             case result.Success(None):
                 return result.Failure(_unknown_refusal(f"no lot {lot_id!r}"))
@@ -335,17 +308,10 @@
                 )
         raise AssertionError(found)
 
-    def _evict_unused(self) -> None:
-        oldest_ms = self.clock.now_ms() - self.retention_ms
-        for lot_id in [
-            lot_id
-            for lot_id, cached in self.cached_lots.items()
-            if cached.used_at_ms < oldest_ms
-        ]:
-            del self.cached_lots[lot_id]
-
 
-def _page(cached: _CachedLot, total: int, position: int) -> state.ResultPage:
+def _page(
+    cached: lot_cache.CachedLot, total: int, position: int
+) -> state.ResultPage:
     found: list[state.LotResult] = []
     size = 0
     for row in cached.results[position:]:
--- a/tests/test_serving_lots.py
+++ b/tests/test_serving_lots.py
@@ -226,7 +226,7 @@
     await fleet.start()
     assert await fleet.submit("lot-a", serving_fleet.lot_body(1)) == 202
     await fleet.store.put("lots/lot-a", b"damaged")
-    fleet.entries[0].lot_service.cached_lots.clear()
+    fleet.entries[0].lot_service.cache.lots.clear()
     status, headers, body = await fleet.call(
         "GET", "/poplarloft/items/lot-a?id=item-0"
     )
