--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -152,6 +152,7 @@
         16, 24 * MIB, ahead("/nowhere/x"), listener="readiness"
     ),
     "ahead-metrics": Form(16, 24 * MIB, ahead("/metrics"), listener="metrics"),
+    "burst-peers": Form(2_000, 0, nothing, listener="peers"),
     "silent-peers": Form(200, 0, nothing, listener="peers"),
 }
 
