Delete the records of lots that nobody ends

What was seen (by reading, then a test that failed before): the record of a lot, with all its items, stays in the store until the trainer ends the lot. A trainer that never does leaves one for ever, and each bulk daemon that starts lists them all.

The leader now deletes the record a minute after all results were recorded; the results and the head, by which the lot is known, stay. At most 30 records a minute, one write.

--- a/poplarloft/daemon/serving/rollouts/garbage_collection.py
+++ b/poplarloft/daemon/serving/rollouts/garbage_collection.py
@@ -1,22 +1,28 @@
-"""Deletes the result logs of lots that ended long ago."""
+"""Deletes what the store holds of lots and nobody needs any more."""
 
 import asyncio
 
 import eliot
 from returns import result
 
+from poplarloft.daemon.serving.store import lots_view
 from poplarloft.protocol import lot_records
 from poplarloft import state
 
 __all__ = ["LotGarbageCollector"]
 
 COLLECTION_INTERVAL_MS = 60_000
+RECORD_KEPT_MS = 60_000  # most trainers end a lot long before
 MAX_DELETES = 30  # the store accepts up to 32 keys per write
 MS_PER_S = 1_000
 
 
 class LotGarbageCollector:
-    """Deletes the stored results of lots whose retention time has passed.
+    """Deletes results and records of lots in the store.
+
+    Results go once their retention time has passed. The record of a lot,
+    with its items, goes a while after all results have been recorded, also
+    if its trainer never ends it; the results stay until then.
 
     Parameters
     ----------
@@ -26,6 +32,8 @@
         Holds the result logs.
     retention_ms : int
         Time for which a lot can be read after its end.
+    view : lots_view.LotsView
+        Knows the lots of which all results have been recorded.
     """
 
     def __init__(
@@ -33,7 +41,9 @@
         wall_clock: state.Clock,
         store: state.RevisionStore,
         retention_ms: int,
+        view: lots_view.LotsView,
     ) -> None:
+        self.view = view
         self.wall_clock = wall_clock
         self.store = store
         self.retention_ms = retention_ms
@@ -43,6 +53,18 @@
         while True:
             await asyncio.sleep(COLLECTION_INTERVAL_MS / MS_PER_S)
             await self.collect()
+            await self.delete_records()
+
+    async def delete_records(self) -> None:
+        """Delete the records of lots that finished and were not ended."""
+        finished = self.view.finished_for(RECORD_KEPT_MS)[:MAX_DELETES]
+        if not finished:
+            return
+        keys = [lot_records.lot_key(lot_id) for lot_id in finished]
+        answer = await self.store.write([], [], keys)
+        eliot.log_message(
+            "records-removed", lots=len(keys), outcome=answer.status.value
+        )
 
     async def collect(self) -> None:
         """Delete result logs that are past their retention time.
--- a/poplarloft/daemon/serving/rollouts/lot_scheduler.py
+++ b/poplarloft/daemon/serving/rollouts/lot_scheduler.py
@@ -131,7 +131,7 @@
             self.wake,
         )
         self.garbage_collector = garbage_collection.LotGarbageCollector(
-            wall_clock, store, retention_ms
+            wall_clock, store, retention_ms, self.lots_view
         )
         self.on_planned: abc.Callable[[serving.LotPlan], None] = _ignore
         self.result_writers: dict[str, result_writer.ResultWriter] = {}
--- a/poplarloft/daemon/serving/store/lots_view.py
+++ b/poplarloft/daemon/serving/store/lots_view.py
@@ -55,7 +55,7 @@
         self.store: state.RevisionStore | None = None
         self.task_set: tasks.TaskSet | None = None
         self.is_filling = False
-        self.finished: set[str] = set()
+        self.finished: dict[str, int] = {}
         self.records: dict[str, state.LotRecord] = {}
         self.hinted_revisions: dict[str, int] = {}
         self.history: serving.PrefixHistory | None = None
@@ -98,10 +98,19 @@
         The lot stays open until its trainer has ended it.
         """
         if self.records.pop(lot_id, None) is not None:
-            self.finished.add(lot_id)
+            self.finished[lot_id] = self.clock.now_ms()
             self.backlog.remove(lot_id)
             self._fill()
 
+    def finished_for(self, age_ms: int) -> list[str]:
+        """Return the lots that finished so long ago and were not ended."""
+        last_ms = self.clock.now_ms() - age_ms
+        return [
+            lot_id
+            for lot_id, finished_ms in self.finished.items()
+            if finished_ms <= last_ms
+        ]
+
     def on_listing(self, entries: abc.Sequence[state.Entry]) -> None:
         """Add all listed lots; remove those missing from the listing.
 
@@ -168,7 +177,7 @@
 
     def _remove(self, lot_id: str) -> None:
         self.hinted_revisions.pop(lot_id, None)
-        self.finished.discard(lot_id)
+        self.finished.pop(lot_id, None)
         self.backlog.remove(lot_id)
         self._fill()
         if self.records.pop(lot_id, None) is None:
--- a/poplarloft/daemon/serving/store/tests/test_lots_view.py
+++ b/poplarloft/daemon/serving/store/tests/test_lots_view.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving.rollouts import garbage_collection
 from poplarloft.daemon.serving.store import lots_view
 from poplarloft.daemon import tasks
 from poplarloft.platform import lots
@@ -78,3 +79,35 @@
     assert not view.backlog.deferred
     view.on_listing(list(store.entries.values())[:1])
     assert view.listener.opened.count("lot-0") == 1  # it is finished
+
+
+class Written:
+    """Records which keys are deleted."""
+
+    def __init__(self):
+        self.deleted = []
+
+    async def write(self, expected, puts, deletes=()):
+        self.deleted += deletes
+        return state.WriteAnswer(state.WriteStatus.APPLIED)
+
+
+async def test_records_of_finished_lots_go_though_nobody_ends_them():
+    # Guards against a listing that grows for ever.
+    clock = state.ManualClock()
+    view = lots_view.LotsView(clock)
+    record = Store().add(7)
+    key = lot_records.lot_key(record.lot.id)
+    view.on_listing([state.Entry(key, lot_records.encode_record(record), 1)])
+    written = Written()
+    collector = garbage_collection.LotGarbageCollector(
+        clock, written, 1_000, view
+    )
+    view.on_finished(record.lot.id)
+    await collector.delete_records()
+    assert written.deleted == []
+    clock.advance(garbage_collection.RECORD_KEPT_MS)
+    await collector.delete_records()
+    assert written.deleted == [key]
+    view.on_change(state.Change(key, 2, None))
+    assert not view.finished
--- a/tests/test_serving_crowds.py
+++ b/tests/test_serving_crowds.py
@@ -181,36 +181,6 @@
         assert self.most_descriptors < machine.max_descriptors
 
     async def stop(self):
-        print(
-            "PEAK",
-            peak_memory_bytes(self.pid) // 10**6,
-            self.most_kernel_bytes // 10**6,
-            self.most_descriptors,
-        )
-        print(
-            "PEAK",
-            peak_memory_bytes(self.pid) // 10**6,
-            self.most_kernel_bytes // 10**6,
-            self.most_descriptors,
-        )
-        print(
-            "PEAK",
-            peak_memory_bytes(self.pid) // 10**6,
-            self.most_kernel_bytes // 10**6,
-            self.most_descriptors,
-        )
-        print(
-            "PEAK",
-            peak_memory_bytes(self.pid) // 10**6,
-            self.most_kernel_bytes // 10**6,
-            self.most_descriptors,
-        )
-        print(
-            "PEAK",
-            peak_memory_bytes(self.pid) // 10**6,
-            self.most_kernel_bytes // 10**6,
-            self.most_descriptors,
-        )
         self.sampling.cancel()
         self.daemon.end()
         if self.bulk is not None:
