Pause accepting while connections are being closed

Found by reading: at the bound above the places, a listener stayed readable and was asked in each turn of the loop until the connections that make room were closed; a request whose handling takes long to end would have kept the loop spinning. It now pauses for 5 ms.

--- a/poplarloft/transport/acceptor.py
+++ b/poplarloft/transport/acceptor.py
@@ -15,6 +15,7 @@
 # Also the number of connections that may be open above the bound, for a
 # moment: those that make room are closed in the next turn.
 ACCEPTS_PER_TURN = 64
+CLOSING_S = 0.005  # until those that make room are closed
 RETRY_S = 0.1  # after the process could not open another descriptor
 KERNEL_FACTOR = 2  # by which the kernel makes a buffer larger than asked
 # What is queued in the kernel for a client that does not read.
@@ -71,12 +72,17 @@
     def _pause(self) -> None:
         asyncio.get_running_loop().remove_reader(self.listener.fileno())
 
+    def _pause_for(self, pause_s: float) -> None:
+        self._pause()
+        asyncio.get_running_loop().call_later(pause_s, self._resume)
+
     def _on_readable(self) -> None:
         """Accept what one turn of the event loop may take."""
         places = self.buffers.table.max_connections
         at_once = max(1, min(ACCEPTS_PER_TURN, places // 2))
         for _ in range(at_once):
             if self.buffers.open_count >= places + at_once:
+                self._pause_for(CLOSING_S)
                 return
             if not self._accept_one():
                 return
@@ -89,8 +95,7 @@
             return False
         except OSError as error:
             eliot.log_message("accept-failed", error=str(error))
-            self._pause()
-            asyncio.get_running_loop().call_later(RETRY_S, self._resume)
+            self._pause_for(RETRY_S)
             return False
         accepted.setblocking(False)
         if self.buffers.make_room():
--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -92,6 +92,16 @@
         self.address = self.acceptor.address
         return self.address
 
+    def allow_bodies_of(self, size: int) -> None:
+        """Let requests with bodies of `size` bytes be served in any case.
+
+        The bound on memory is raised if it is too small for two of them.
+        """
+        least_bytes = 2 * request_reader.BODY_COPIES * size
+        self.buffers.table.max_bytes = max(
+            self.limits.max_held_bytes, least_bytes
+        )
+
     async def stop_listening(self) -> None:
         """Accept no further connections; open ones are still served.
 
