Show what clients take, and write it down

Lots that are run have 0.4 of a bulk daemon's free memory, as it serves no clients: 7 trainers with 1,024 samples a step take 14 MB and their bodies. The bound on memory for bodies is raised where the configuration allows larger ones, so that a single request is served in calm on any machine.

--- a/poplarloft/coordination/clients/__init__.py
+++ b/poplarloft/coordination/clients/__init__.py
@@ -12,6 +12,7 @@
 from poplarloft.coordination.clients.shares import ListenerShare
 from poplarloft.coordination.clients.shares import Machine
 from poplarloft.coordination.clients.shares import MachineShares
+from poplarloft.coordination.clients.shares import ResourceUse
 from poplarloft.coordination.clients.shares import share_machine
 from poplarloft.coordination.clients.table import BodyDecision
 from poplarloft.coordination.clients.table import ClientTable
@@ -25,5 +26,6 @@
     "MachineShares",
     "MemoryQuota",
     "Phase",
+    "ResourceUse",
     "share_machine",
 ]
--- a/poplarloft/coordination/clients/shares.py
+++ b/poplarloft/coordination/clients/shares.py
@@ -2,7 +2,13 @@
 
 import dataclasses
 
-__all__ = ["ListenerShare", "Machine", "MachineShares", "share_machine"]
+__all__ = [
+    "ListenerShare",
+    "Machine",
+    "MachineShares",
+    "ResourceUse",
+    "share_machine",
+]
 
 BYTES_PER_MB = 1_000_000
 MIB = 1_048_576
@@ -14,6 +20,7 @@
 CONNECTION_MEMORY = 0.12
 REQUEST_MEMORY = 0.25
 LOT_MEMORY = 0.1
+OPEN_LOT_MEMORY = 0.4  # of a bulk daemon, which serves no clients
 RELAY_MEMORY = 0.06
 CONTROL_MEMORY = 0.01
 # Of the memory for a listener's connections: as much again in the kernel.
@@ -106,8 +113,10 @@
         Of the listeners for requests, for other instances, and for
         readiness and metrics each.
     lot_bytes : int
-        Memory for lots that are being taken in, for those that are run,
-        and for what was read of their results, each.
+        Memory for lots that are being taken in, and for what was read of
+        their results, each.
+    open_lot_bytes : int
+        Memory of a bulk daemon for lots that are run.
     max_channels : int or None
         Number of connections to upstreams; None for no bound.
     max_peers : int
@@ -118,10 +127,20 @@
     relay: ListenerShare = ListenerShare(1_000, 64 * MIB, CONTROL_BACKLOG)
     control: ListenerShare = ListenerShare(100, 16 * MIB, CONTROL_BACKLOG)
     lot_bytes: int = 256 * MIB
+    open_lot_bytes: int = 256 * MIB
     max_channels: int | None = None
     max_peers: int = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResourceUse:
+    """How much of a resource clients take, and may take."""
+
+    resource: str
+    used: float
+    bound: float
+
+
 def share_machine(machine: Machine) -> MachineShares:
     """Return the shares of a machine, the defaults where it has no figure.
 
@@ -135,13 +154,18 @@
         share = int(PEER_DESCRIPTORS * machine.free_descriptors)
         peers = max(1, min(peers, share))
     lot_bytes = most.lot_bytes
+    open_lot_bytes = most.open_lot_bytes
     if machine.free_bytes is not None:
-        lot_bytes = min(lot_bytes, int(LOT_MEMORY * machine.free_bytes))
+        free_bytes = machine.free_bytes
+        lot_bytes = min(lot_bytes, int(LOT_MEMORY * free_bytes))
+        share = int(OPEN_LOT_MEMORY * free_bytes)
+        open_lot_bytes = min(open_lot_bytes, share)
     return MachineShares(
         _share(machine, most.requests, REQUEST_DESCRIPTORS, REQUEST_MEMORY),
         _share(machine, most.relay, RELAY_DESCRIPTORS, RELAY_MEMORY),
         _share(machine, most.control, CONTROL_DESCRIPTORS, CONTROL_MEMORY),
         lot_bytes,
+        open_lot_bytes,
         channels,
         peers,
     )
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -135,6 +135,13 @@
         notes = response_notes.ResponseNotes(self.limits, leaving)
         return samplers.SamplerClient(self.client, notes, self.request_client)
 
+    def uses(self) -> list[clients.ResourceUse]:
+        """Return what clients and other instances take at the moment."""
+        relay = self.relay.server.buffers.uses("relay")
+        slots = self.request_client.slots
+        channels = clients.ResourceUse("channels", slots.taken, slots.count)
+        return [*relay, channels]
+
     def close_clients(self) -> None:
         """Close the idle connections to the store and to upstreams."""
         self.client.close()
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -4,6 +4,7 @@
 
 import eliot
 
+from poplarloft.coordination import clients
 from poplarloft.coordination import metering
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving import base
@@ -58,7 +59,7 @@
             self.clock, settings.name, MAX_CHANGE_DELAY_MS, self.peers
         )
         self.views = store_views.StoreViews.make(
-            self.clock, self.last_use_ms, self.shares.lot_bytes
+            self.clock, self.last_use_ms, self.shares.open_lot_bytes
         )
         self.sampler_client = self.make_sampler_client(self.views.samplers)
         self.views.operator.listeners.append(self._confirm_retirements)
@@ -178,6 +179,19 @@
             checkpoints,
         )
 
+    def uses(self) -> list[clients.ResourceUse]:
+        """Return what clients and other instances take at the moment."""
+        backlog = self.views.lots.backlog
+        return [
+            *super().uses(),
+            clients.ResourceUse(
+                "lot-bytes", backlog.held_bytes, backlog.max_bytes
+            ),
+            clients.ResourceUse(
+                "waiting-lot-bytes", backlog.deferred_bytes, backlog.max_bytes
+            ),
+        ]
+
     async def _recall_streams(self) -> None:
         """Ask for the streams that this daemon kept before it started."""
         members = await self.relay.read_members()
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -8,6 +8,7 @@
 
 from poplarloft import coordination
 from poplarloft.coordination import accounts
+from poplarloft.coordination import clients
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving.accounts import account_gate
 from poplarloft.daemon.serving import base
@@ -228,6 +229,11 @@
         self.close_clients()
         eliot.log_message("stopped", cut=cut, store_calls=self.store.calls)
 
+    def uses(self) -> list[clients.ResourceUse]:
+        """Return what clients and other instances take at the moment."""
+        requests = self.request_server.buffers.uses("request")
+        return [*super().uses(), *requests, self.lot_requests.intake.use()]
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should route clients to this daemon."""
@@ -370,3 +376,4 @@
             head_timeout_ms=limits.head_timeout_ms,
             idle_timeout_ms=limits.idle_timeout_ms,
         )
+        self.request_server.allow_bodies_of(limits.max_body_bytes)
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -51,6 +51,7 @@
         daemon = entry.EntryDaemon(settings)
     else:
         daemon = bulk.BulkDaemon(settings)
+    recorder.uses = daemon.uses
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/poplarloft/daemon/serving/rollouts/lot_intake.py
+++ b/poplarloft/daemon/serving/rollouts/lot_intake.py
@@ -67,6 +67,13 @@
         finally:
             self.quota.give_back(size)
 
+    def use(self) -> clients.ResourceUse:
+        """Return the memory that lots take which are being taken in."""
+        quota = self.quota
+        return clients.ResourceUse(
+            "intake-bytes", quota.taken_bytes, quota.max_bytes
+        )
+
     async def _take(self, size: int) -> bool:
         """Wait for memory; return whether there is some in time."""
         loop = asyncio.get_running_loop()
--- a/poplarloft/daemon/serving/telemetry.py
+++ b/poplarloft/daemon/serving/telemetry.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections import abc
 import contextlib
 import sys
 import typing
@@ -11,6 +12,7 @@
 import eliot
 import msgspec
 
+from poplarloft.coordination import clients
 from poplarloft.coordination import log_rate_limit
 from poplarloft.protocol import http
 from poplarloft.protocol import log_events
@@ -38,6 +40,11 @@
         Destination of lines; standard output if None.
     limits : http_server.ServerLimits or None
         Limits on the clients of the metrics page; the defaults if None.
+
+    Attributes
+    ----------
+    uses : callable
+        Returns what clients take at the moment.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         self.output = output or log_output.LogOutput(sys.stdout.fileno())
         self.page = metrics_page.MetricsPage()
         self.name = name
+        self.uses: abc.Callable[[], abc.Iterable[clients.ResourceUse]] = list
         self.server = http_server.HttpServer(
             self._answer,
             limits or http_server.ServerLimits(),
@@ -98,14 +106,14 @@
             self.page.durations.labels(kind, request_class).observe(
                 message["duration_ms"]
             )
-        self._count_upstreams(kind, message)
+        self._count_parties(kind, message)
         if self.rate_limiter.allows(kind, is_failure):
             self.output.write(_encode(message))
 
-    def _count_upstreams(
+    def _count_parties(
         self, kind: str, message: dict[str, typing.Any]
     ) -> None:
-        """Keep the metrics of upstreams: limits, permits and crashes."""
+        """Keep the metrics of upstreams, and of clients that were closed."""
         upstream = message.get("upstream", "")
         match kind:
             case "limit-named":
@@ -118,11 +126,15 @@
                 self.page.crashes.labels(message["evidence"]).inc()
             case "quarantine":
                 self.page.quarantines.inc()
+            case "client-closed":
+                self.page.closed.labels(message["reason"]).inc()
             case "permit":
                 outcome = message["outcome"]
                 self.page.permits.labels(upstream, outcome).inc()
 
     async def _answer(self, request: http.HttpRequest) -> http.HttpResponse:
+        for use in self.uses():
+            self.page.set_use(use.resource, use.used, use.bound)
         headers = (("content-type", "text/plain; version=0.0.4"),)
         return http.HttpResponse(200, headers, self.page.render())
 
--- a/poplarloft/daemon/serving/tests/test_telemetry.py
+++ b/poplarloft/daemon/serving/tests/test_telemetry.py
@@ -3,6 +3,7 @@
 import json
 import os
 
+from poplarloft.coordination import clients
 from poplarloft.daemon.serving import telemetry
 from poplarloft import state
 from poplarloft.transport import log_output
@@ -45,6 +46,17 @@
     assert 'kind="item-run",outcome="other"} 50.0' in page
 
 
+async def test_page_says_what_clients_take_and_why_they_were_closed():
+    recorder, _ = make_recorder()
+    recorder.uses = lambda: [clients.ResourceUse("channels", 3, 12)]
+    recorder.on_event({"message_type": "client-closed", "reason": "r"})
+    response = await recorder._answer(None)
+    page = response.body.decode()
+    assert 'client_use{resource="channels"} 3.0' in page
+    assert 'client_bound{resource="channels"} 12.0' in page
+    assert 'clients_closed_total{reason="r"} 1.0' in page
+
+
 def test_every_metric_is_on_the_page_under_its_listed_name():
     recorder, _ = make_recorder()
     recorder.on_event({"message_type": "x", "duration_ms": 1})
--- a/poplarloft/transport/client_buffers.py
+++ b/poplarloft/transport/client_buffers.py
@@ -105,6 +105,17 @@
         """Number of connections, also of those whose closing is under way."""
         return len(self.connections)
 
+    def uses(self, listener: str) -> list[clients.ResourceUse]:
+        """Return what the connections of a listener take."""
+        table = self.table
+        places = clients.ResourceUse(
+            f"{listener}-places", self.open_count, table.max_connections
+        )
+        memory = clients.ResourceUse(
+            f"{listener}-bytes", table.total_bytes, table.max_bytes
+        )
+        return [places, memory]
+
     def close_excess(self) -> None:
         """Close connections until the bound on memory holds."""
         self.close_all(self.table.close_excess())
--- a/poplarloft/transport/metrics_page.py
+++ b/poplarloft/transport/metrics_page.py
@@ -14,6 +14,9 @@
     "poplarloft_upstream_permits_total": "Permits by upstream and outcome",
     "poplarloft_upstream_crashes_total": "Crashes seen, by evidence",
     "poplarloft_quarantines_total": "Quarantines of requests",
+    "poplarloft_clients_closed_total": "Connections closed, by reason",
+    "poplarloft_client_use": "What clients take, by resource",
+    "poplarloft_client_bound": "What clients may take, by resource",
 }
 
 
@@ -72,6 +75,30 @@
             registry=self.registry,
         )
 
+        self.closed = prometheus_client.Counter(
+            "poplarloft_clients_closed",
+            METRIC_NAMES["poplarloft_clients_closed_total"],
+            ["reason"],
+            registry=self.registry,
+        )
+        self.client_use = prometheus_client.Gauge(
+            "poplarloft_client_use",
+            METRIC_NAMES["poplarloft_client_use"],
+            ["resource"],
+            registry=self.registry,
+        )
+        self.client_bound = prometheus_client.Gauge(
+            "poplarloft_client_bound",
+            METRIC_NAMES["poplarloft_client_bound"],
+            ["resource"],
+            registry=self.registry,
+        )
+
+    def set_use(self, resource: str, used: float, bound: float) -> None:
+        """Set how much of a resource clients take, and may take."""
+        self.client_use.labels(resource).set(used)
+        self.client_bound.labels(resource).set(bound)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
