Drop later bodies of a closed connection as well

Found by reading the diff: what is dropped when a connection is closed was the buffer of its first body; later ones were held until the session's task had ended. A client's end and the loss of its connection both cancelled the session, the second while it ended. Session.is_idle has no caller since the table decides.

--- a/poplarloft/transport/http_server.py
+++ b/poplarloft/transport/http_server.py
@@ -158,7 +158,7 @@
         session = http_session.Session(
             self, connection.stream, connection.buffer
         )
-        connection.drop_body = session.requests.body.clear
+        connection.drop_body = session.requests.drop_body
         task = asyncio.get_running_loop().create_task(_serve(session))
         self.sessions[task] = session
         # The session is closed by a callback: a task that is cancelled before
--- a/poplarloft/transport/http_session.py
+++ b/poplarloft/transport/http_session.py
@@ -73,11 +73,6 @@
         self.is_serving = False
         self.task: asyncio.Task[None] | None = None
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether it waits for the next request after having served one."""
-        return self.has_served and self.requests.idle_timeout is not None
-
     async def run(self) -> None:
         """Serve requests until either side ends the connection."""
         self.task = asyncio.current_task()
@@ -106,7 +101,7 @@
         The reset prevents the client from treating a truncated response as
         complete.
         """
-        self.requests.body.clear()
+        self.requests.drop_body()
         if self.response_complete:
             self.stream.close()
         else:
@@ -160,7 +155,9 @@
         self.buffer.set_channel(True)
 
     def _on_departure(self) -> None:
+        """Cancel the session, once, so that it ends in order."""
         if self.is_serving and self.task is not None:
+            self.is_serving = False
             self.response_complete = False
             self.task.cancel()
 
--- a/poplarloft/transport/request_reader.py
+++ b/poplarloft/transport/request_reader.py
@@ -76,6 +76,10 @@
         State of the connection, shared with the sender of responses.
     idle_timeout : asyncio.Timeout or None
         Timeout of the wait for a request; None outside of that wait.
+    body : bytearray
+        What has arrived of a body that is not complete.
+    parsed_ahead : int
+        Bytes that were taken from the stream and follow the request.
     """
 
     def __init__(
@@ -101,6 +105,10 @@
         """The limits of the server."""
         return self.policy.limits
 
+    def drop_body(self) -> None:
+        """Drop what has arrived of a body that will not be complete."""
+        self.body.clear()
+
     def end_wait(self, grace_ms: int) -> None:
         """End a wait for a request after `grace_ms`."""
         if self.idle_timeout is None:
