Share connections to upstreams with own calls again

By reading: since reports, probes and orders had a client of their own, they shared no idle connection with requests any more, so each engine cost two, and a probe before an output goes on a new one each time, which is priced.

One client for upstreams again; reports, probes and orders open a connection beyond the bound where none is free, and such a slot is handed on to nobody. The store keeps a client of its own.

--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -69,9 +69,8 @@
         self.task_set = tasks.TaskSet()
         self.shares = machine_shares(settings)
         self.client = http_client.HttpClient(CONNECT_TIMEOUT_MS)
-        # Requests of clients have connections of their own, so that the
-        # calls of this instance do not wait for them.
-        self.request_client = http_client.HttpClient(
+        # Calls to the store do not wait for those to upstreams.
+        self.upstream_client = http_client.HttpClient(
             CONNECT_TIMEOUT_MS, max_connections=self.shares.max_channels
         )
         self.store = store_relay.RelayedStore(
@@ -133,19 +132,19 @@
             sampler_view,
         )
         notes = response_notes.ResponseNotes(self.limits, leaving)
-        return samplers.SamplerClient(self.client, notes, self.request_client)
+        return samplers.SamplerClient(self.upstream_client, notes)
 
     def uses(self) -> list[clients.ResourceUse]:
         """Return what clients and other instances take at the moment."""
         relay = self.relay.server.buffers.uses("relay")
-        slots = self.request_client.slots
+        slots = self.upstream_client.slots
         channels = clients.ResourceUse("channels", slots.taken, slots.count)
         return [*relay, channels]
 
     def close_clients(self) -> None:
         """Close the idle connections to the store and to upstreams."""
         self.client.close()
-        self.request_client.close()
+        self.upstream_client.close()
 
     async def start_relay(self) -> None:
         """Start relaying store calls of peers if `relay_listen` is set."""
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -126,7 +126,7 @@
             self.answer_readiness,
             http_server.share_limits(self.shares.control),
         )
-        self.request_client.on_exhausted = (
+        self.upstream_client.on_exhausted = (
             self.request_server.buffers.free_channel
         )
         self.operator.listeners.append(self._apply_limits)
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -81,23 +81,17 @@
     Parameters
     ----------
     client : http_client.HttpClient
-        Pooled connections for reports, probes and orders.
+        Pooled connections. Requests wait for one beyond the bound; reports,
+        probes and orders do not.
     observer : ResponseObserver
         Learns what upstreams say of themselves.
-    request_client : http_client.HttpClient or None
-        Pooled connections for requests, items and scores; None for those
-        of `client`.
     """
 
     def __init__(
-        self,
-        client: http_client.HttpClient,
-        observer: ResponseObserver,
-        request_client: http_client.HttpClient | None = None,
+        self, client: http_client.HttpClient, observer: ResponseObserver
     ) -> None:
         self.client = client
         self.observer = observer
-        self.request_client = request_client or client
 
     async def forward(
         self,
@@ -212,6 +206,7 @@
             ),
             msgspec.json.encode(body),
             CALL_TIMEOUT_MS,
+            is_essential=True,
         )
         match sent:
             case result.Success(response):
@@ -231,6 +226,7 @@
             names.REPORT_PATH,
             headers,
             timeout_ms=CALL_TIMEOUT_MS,
+            is_essential=True,
         )
         match sent:
             case result.Success(response):
@@ -261,6 +257,7 @@
             ((names.EXPECT_INSTANCE, sampler.name),),
             timeout_ms=PROBE_TIMEOUT_MS,
             new_connection=new_connection,
+            is_essential=True,
         )
         match sent:
             case result.Success(response):
@@ -289,7 +286,7 @@
 
         A misdirected request was answered by another upstream.
         """
-        sent = await self.request_client.send(
+        sent = await self.client.send(
             sampler.address,
             method,
             target,
--- a/poplarloft/transport/connection_slots.py
+++ b/poplarloft/transport/connection_slots.py
@@ -57,6 +57,11 @@
         waiting = itertools.chain(self.first, self.others)
         return any(not waiter.done() for waiter in waiting)
 
+    def take_extra(self) -> Slot:
+        """Take a slot at once, also beyond the bound."""
+        self.taken += 1
+        return Slot(self)
+
     async def take(self, is_first: bool = True) -> Slot:
         """Take a slot, waiting until one is free."""
         if self.is_free:
@@ -75,8 +80,11 @@
         return Slot(self)
 
     def give_back(self) -> None:
-        """Give a slot to who has waited longest, if anybody waits."""
-        while self.first or self.others:
+        """Give a slot to who has waited longest, if anybody waits.
+
+        One beyond the bound goes to nobody.
+        """
+        while self.taken <= self.count and (self.first or self.others):
             waiter = (self.first or self.others).popleft()
             if not waiter.done():
                 waiter.set_result(None)
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -78,6 +78,7 @@
         body: bytes | http.BodyStream = b"",
         timeout_ms: int = 30_000,
         new_connection: bool = False,
+        is_essential: bool = False,
     ) -> result.Result[UpstreamResponse, errors.TransportFailure]:
         """Send a request and return the response once its head has arrived.
 
@@ -97,13 +98,15 @@
             an idle one, and a client cannot tell that from a failure after
             the request was run, which rules out a retry of requests that
             must not run twice.
+        is_essential : bool
+            Whether to open a connection beyond the bound if none is free.
 
         Returns
         -------
         Result
             The response, or why there is none.
         """
-        opened = await self._open(address, new_connection)
+        opened = await self._open(address, new_connection, is_essential)
         match opened:
             case result.Success(connection):
                 holder = channel_notes.holder.get()
@@ -165,12 +168,14 @@
             connection.close()
         return None
 
-    async def _take_slot(self) -> connection_slots.Slot:
+    async def _take_slot(self, is_essential: bool) -> connection_slots.Slot:
         """Take the slot of a new connection, which may have to wait.
 
         Each request that waits asks for room again and again, so that as
         many connections end as are needed.
         """
+        if is_essential:
+            return self.slots.take_extra()
         if self.slots.is_free:
             return await self.slots.take()
         holder = channel_notes.holder.get()
@@ -198,7 +203,10 @@
         longest_idle.close()
 
     async def _open(
-        self, address: state.Address, new_connection: bool
+        self,
+        address: state.Address,
+        new_connection: bool,
+        is_essential: bool,
     ) -> result.Result[connections.Connection, errors.TransportFailure]:
         if not new_connection:
             connection = self._take_idle(address)
@@ -207,7 +215,7 @@
         timeout_s = self.connect_timeout_ms / MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                slot = await self._take_slot()
+                slot = await self._take_slot(is_essential)
         except TimeoutError:
             return result.Failure(
                 errors.TransportFailure(
--- a/poplarloft/transport/tests/test_connection_slots.py
+++ b/poplarloft/transport/tests/test_connection_slots.py
@@ -53,3 +53,17 @@
     held.release()
     await asyncio.gather(*tasks)
     assert order == ["b", "d", "a", "c"]
+
+
+async def test_slots_beyond_the_bound_are_handed_on_to_nobody():
+    slots = connection_slots.ConnectionSlots(1)
+    held = await slots.take()
+    extra = slots.take_extra()
+    waiting = asyncio.create_task(slots.take())
+    await asyncio.sleep(0)
+    extra.release()
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    held.release()
+    (await waiting).release()
+    assert slots.taken == 0
