Collect the fuzz tests in one order

Cause: decoders were parametrized over a set, whose order follows their addresses. They are now taken in the order of the list, each once; the same tests run.

--- a/poplarloft/protocol/tests/test_serving_fuzz.py
+++ b/poplarloft/protocol/tests/test_serving_fuzz.py
@@ -103,7 +103,9 @@
         decode(damaged(encoded, damage, length))
 
 
-@pytest.mark.parametrize("decode", {decode for decode, _ in CODECS})
+@pytest.mark.parametrize(
+    "decode", list(dict.fromkeys(decode for decode, _ in CODECS))
+)
 @given(shape=SHAPES, noise=st.binary(max_size=40))
 def test_other_shapes_raise_a_field_error(decode, shape, noise):
     for data in (msgspec.msgpack.encode(shape), noise):
