Test streams that take an upstream's slots, red

600 clients ask for streams ahead and read nothing; the ordinary request beside them was refused with 503 as not run in two plays of four, with nothing else on the machine. The log shows three attempts, each refused by the upstream itself, whose 64 slots are taken: a stream that nobody reads holds its slot until its channel is wanted.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -145,6 +145,9 @@
     "leaving": Form(100, 200 * KIB, ahead("/p/slow"), leaves=True),
     "streams": Form(40, 200 * KIB, ahead("/s/x", *STREAMED)),
     "short-streams": Form(40, 200 * KIB, ahead("/s/x", *SHORT_STREAMED)),
+    "many-streams": Form(
+        600, 200 * KIB, ahead("/s/x", *STREAMED), machine=WIDE
+    ),
     "silent-readiness": Form(200, 0, nothing, listener="readiness"),
     "silent-metrics": Form(200, 0, nothing, listener="metrics"),
     "silent-relay": Form(200, 0, nothing, listener="relay"),
