Tell slow readers from clients that read nothing

Seen: a client that reads a long answer steadily, but slower than it comes, lost its place to a new connection after a second, while one that had read nothing for as long kept its own.

Cause: the phase UNREAD begins when much was written and ends when most of it was read. A slow reader stays in it for longer than a second, and its age was that of the phase.

Now, while any client has to read, the listener looks every half second at who has read some of what was written; these act, and rank behind those that don't. The account of unread bytes falls with it.

--- a/poplarloft/coordination/clients/__init__.py
+++ b/poplarloft/coordination/clients/__init__.py
@@ -16,6 +16,7 @@
 from poplarloft.coordination.clients.shares import share_machine
 from poplarloft.coordination.clients.table import BodyDecision
 from poplarloft.coordination.clients.table import ClientTable
+from poplarloft.coordination.clients.table import PATIENCE_MS
 
 __all__ = [
     "BodyDecision",
@@ -25,6 +26,7 @@
     "Machine",
     "MachineShares",
     "MemoryQuota",
+    "PATIENCE_MS",
     "Phase",
     "ResourceUse",
     "share_machine",
--- a/poplarloft/coordination/clients/table.py
+++ b/poplarloft/coordination/clients/table.py
@@ -7,7 +7,7 @@
 from poplarloft.coordination.clients import holds
 from poplarloft import state
 
-__all__ = ["BodyDecision", "ClientTable"]
+__all__ = ["BodyDecision", "ClientTable", "PATIENCE_MS"]
 
 Phase = holds.Phase
 # A client that acts within this time is not closed before those that don't.
@@ -108,6 +108,18 @@
         client.since_ms = self.clock.now_ms()
         self.phases[phase][number] = None
 
+    def renew(self, number: int) -> None:
+        """Note that a client acts, though it stays in its phase."""
+        client = self.clients.get(number)
+        if client is not None:
+            client.since_ms = self.clock.now_ms()
+            phase = self.phases[client.phase]
+            phase[number] = phase.pop(number)
+
+    def in_phase(self, phase: Phase) -> list[int]:
+        """Return the open connections in a phase."""
+        return list(self.phases[phase])
+
     def set_channel(self, number: int, has_channel: bool) -> None:
         """Set whether a connection's request uses a channel upstream."""
         client = self.clients.get(number)
--- a/poplarloft/coordination/clients/tests/test_table.py
+++ b/poplarloft/coordination/clients/tests/test_table.py
@@ -41,6 +41,16 @@
     assert [made.make_room(), made.make_room()] == [1, 2]
 
 
+def test_client_that_reads_slowly_outlasts_those_that_read_nothing():
+    made, clock = make_table(3)
+    made.enter(1, Phase.UNREAD)
+    made.enter(2, Phase.UNREAD)
+    made.enter(3, Phase.IDLE)
+    clock.advance(LONG_MS)
+    made.renew(1)
+    assert [made.make_room() for _ in range(3)] == [2, 3, 1]
+
+
 def test_request_that_never_ends_makes_room_though_it_goes_on():
     made, clock = make_table(2)
     made.enter(1, Phase.RECEIVING)
@@ -199,6 +209,12 @@
             self.table.enter(number, Phase.IDLE)
             self.hold(number, unread_bytes=0, body_bytes=0)
 
+    @stateful.rule(data=strategies.data())
+    def read_some(self, data):
+        number = self.pick(data, Phase.UNREAD)
+        if number is not None:
+            self.table.renew(number)
+
     @stateful.rule(data=strategies.data())
     def leave(self, data):
         number = self.pick(data, *Phase)
--- a/poplarloft/transport/client_buffers.py
+++ b/poplarloft/transport/client_buffers.py
@@ -1,5 +1,6 @@
 """Accounts for what the connections of a server hold."""
 
+import asyncio
 from collections import abc
 import dataclasses
 import itertools
@@ -9,6 +10,10 @@
 
 __all__ = ["ClientBuffers", "ConnectionBuffer"]
 
+# Between two looks at who reads; shorter than the time after which a client
+# that does not act makes room.
+READING_INTERVAL_S = clients.PATIENCE_MS / 2 / 1_000
+
 
 class ConnectionBuffer:
     """What one connection makes the server hold.
@@ -19,13 +24,19 @@
         What all connections hold.
     close : callable
         Closes the connection at once.
+    measure_unread : callable
+        Returns the bytes that were written and not read so far.
     """
 
     def __init__(
-        self, buffers: "ClientBuffers", close: abc.Callable[[], None]
+        self,
+        buffers: "ClientBuffers",
+        close: abc.Callable[[], None],
+        measure_unread: abc.Callable[[], int],
     ) -> None:
         self.buffers = buffers
         self.close = close
+        self.measure_unread = measure_unread
         self.number = next(buffers.numbers)
         self.hold = clients.ClientHold()
         self.phase = clients.Phase.SILENT
@@ -37,6 +48,8 @@
         if self.phase is not phase:
             self.phase = phase
             self.buffers.table.enter(self.number, phase)
+            if phase is clients.Phase.UNREAD:
+                self.buffers.watch_reading()
 
     def set_channel(self, has_channel: bool) -> None:
         """Set whether its request may use a channel upstream."""
@@ -50,6 +63,13 @@
         """Set the bytes of answers that the client has not read."""
         self._update(unread_bytes=size)
 
+    def note_reading(self) -> None:
+        """Note whether the client has read some of what it was sent."""
+        unread_bytes = self.measure_unread()
+        if unread_bytes < self.hold.unread_bytes:
+            self._update(unread_bytes=unread_bytes)
+            self.buffers.table.renew(self.number)
+
     def take_body(self, size: int) -> bool:
         """Set the memory for the request; return whether it may be used."""
         if size > self.hold.body_bytes:
@@ -99,6 +119,7 @@
         self.on_closed = on_closed
         self.connections: dict[int, ConnectionBuffer] = {}
         self.numbers = itertools.count(1)
+        self.next_look: asyncio.TimerHandle | None = None
 
     @property
     def open_count(self) -> int:
@@ -116,6 +137,20 @@
         )
         return [places, memory]
 
+    def watch_reading(self) -> None:
+        """Look from time to time who reads what was sent, while any has to."""
+        if self.next_look is None:
+            loop = asyncio.get_running_loop()
+            self.next_look = loop.call_later(READING_INTERVAL_S, self._look)
+
+    def _look(self) -> None:
+        self.next_look = None
+        reading = self.table.in_phase(clients.Phase.UNREAD)
+        for number in reading:
+            self.connections[number].note_reading()
+        if reading:
+            self.watch_reading()
+
     def close_excess(self) -> None:
         """Close connections until the bound on memory holds."""
         self.close_all(self.table.close_excess())
--- a/poplarloft/transport/client_connection.py
+++ b/poplarloft/transport/client_connection.py
@@ -52,10 +52,12 @@
         self.watch = watch
         self.attach = attach
         self.unread_timeout_s = unread_timeout_s
-        self.buffer = client_buffers.ConnectionBuffer(buffers, self.abort)
         self.stream = client_stream.ClientStream(
             max_ahead_bytes, self._on_connected, self._on_lost
         )
+        self.buffer = client_buffers.ConnectionBuffer(
+            buffers, self.abort, lambda: self.stream.unread_bytes
+        )
         self.stream.on_paused = self._on_paused
         self.drop_body: abc.Callable[[], None] = _nothing
         self.connecting: asyncio.Task[None] | None = None
--- a/poplarloft/transport/tests/test_places.py
+++ b/poplarloft/transport/tests/test_places.py
@@ -1,6 +1,7 @@
 """Places of a server that is full: who gets one, and what is left over."""
 
 import asyncio
+import socket
 import ssl
 
 import pytest
@@ -13,6 +14,7 @@
 
 LOOPBACK = state.Address("127.0.0.1", 0)
 PLACES = 4
+READS_S = 2.0  # longer than a client that does not act is borne
 
 
 async def respond_ok(request):
@@ -104,3 +106,41 @@
     await settle(server, 0)
     assert server.buffers.table.total_bytes == 0
     await server.drain(0)
+
+
+async def test_client_that_reads_slowly_keeps_its_place():
+    # Guards against taking a slow reader for one that reads nothing.
+    async def events():
+        while True:
+            yield b"x" * 100_000
+
+    async def handler(request):
+        return http.HttpResponse(200, (), events())
+
+    limits = http_server.ServerLimits(max_connections=2)
+    server = http_server.HttpServer(handler, limits, lambda path: 0)
+    address = await server.start(LOOPBACK)
+    loop = asyncio.get_running_loop()
+    clients = [socket.socket() for _ in range(2)]
+    for client in clients:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        client.setblocking(False)
+        await loop.sock_connect(client, (address.host, address.port))
+        await loop.sock_sendall(client, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+    slow, stalled = clients
+    begun_s = loop.time()
+    while loop.time() < begun_s + READS_S:
+        await loop.sock_recv(slow, 400)
+        await asyncio.sleep(0.02)
+    _, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+    async with asyncio.timeout(5):
+        while await loop.sock_recv(stalled, 100_000):
+            pass  # the rest of what had been sent
+        for _ in range(100):
+            assert await loop.sock_recv(slow, 100_000)
+    for client in clients:
+        client.close()
+    writer.close()
+    await settle(server, 0)
+    await server.drain(0)
