Free slots of upstreams from streams that nobody reads

Cause: slots were no resource. A stream kept its slot until its channel was wanted, or for 30 s, and each slot that became free was taken by the next request that had been sent ahead. An entry without a bound on its channels, the default, never freed one.

Now a connection is known by the upstream its request is at. When one refuses an ordinary request for lack of room, a client that has read nothing there for a second is closed, and the request is sent again. If there is none, but clients who may not read, it is sent again every 50 ms, for 1.5 s at most. FullUpstreams holds requests sent ahead back for 250 ms.

--- a/poplarloft/coordination/clients/table.py
+++ b/poplarloft/coordination/clients/table.py
@@ -28,14 +28,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _Client:
-    """One connection; `since_ms` is when its phase began."""
+    """One connection, and the upstream at which its request is.
+
+    `since_ms` is when its phase began, or when its client last acted in it.
+    """
 
     phase: Phase
     since_ms: int
     hold: holds.ClientHold = dataclasses.field(
         default_factory=holds.ClientHold
     )
-    has_channel: bool = False
+    upstream: abc.Hashable | None = None
 
     @property
     def closable_bytes(self) -> int:
@@ -67,6 +70,7 @@
         self.max_bytes = max_bytes
         self.clients: dict[int, _Client] = {}
         self.closing: dict[int, int] = {}
+        self.in_excess: set[int] = set()
         self.open_bytes = 0
         self.closing_bytes = 0
         # Each phase has its clients in the order in which they entered it.
@@ -93,6 +97,7 @@
         if client is None:
             return
         del self.phases[client.phase][number]
+        self.in_excess.discard(number)
         left_bytes = client.hold.total_bytes - client.closable_bytes
         self.open_bytes -= client.hold.total_bytes
         self.closing_bytes += left_bytes
@@ -120,11 +125,11 @@
         """Return the open connections in a phase."""
         return list(self.phases[phase])
 
-    def set_channel(self, number: int, has_channel: bool) -> None:
-        """Set whether a connection's request uses a channel upstream."""
+    def set_channel(self, number: int, upstream: abc.Hashable | None) -> None:
+        """Set the upstream to which a connection's request has a channel."""
         client = self.clients.get(number)
         if client is not None:
-            client.has_channel = has_channel
+            client.upstream = upstream
 
     def set_hold(self, number: int, hold: holds.ClientHold) -> None:
         """Set what a connection holds."""
@@ -133,6 +138,10 @@
             return
         self.open_bytes += hold.total_bytes - client.hold.total_bytes
         client.hold = hold
+        if hold.excess_bytes:
+            self.in_excess.add(number)
+        else:
+            self.in_excess.discard(number)
 
     def take_body(self, number: int, size: int) -> BodyDecision:
         """Decide whether a request may hold `size` bytes for its body.
@@ -185,7 +194,30 @@
         return self._close_first(
             number
             for number in self._by_right_to_stay()
-            if self.clients[number].has_channel
+            if self.clients[number].upstream is not None
+        )
+
+    def free_slot(self, upstream: abc.Hashable) -> int | None:
+        """Close a connection whose request takes a place there for nothing.
+
+        Its client reads nothing of the response, and has not for long.
+        """
+        patient_ms = self.clock.now_ms() - PATIENCE_MS
+        return self._close_first(
+            number
+            for since_ms, number in self._by_age(Phase.UNREAD)
+            if since_ms <= patient_ms
+            and self.clients[number].upstream == upstream
+        )
+
+    def may_free_slot(self, upstream: abc.Hashable) -> bool:
+        """Return whether a request there is one whose client may not read.
+
+        It has not read all of an answer, or has sent more requests ahead.
+        """
+        return any(
+            self.clients[number].upstream == upstream
+            for number in self.in_excess
         )
 
     def _by_right_to_stay(self) -> abc.Iterator[int]:
--- a/poplarloft/coordination/clients/tests/test_table.py
+++ b/poplarloft/coordination/clients/tests/test_table.py
@@ -72,13 +72,32 @@
     made, _ = make_table(3)
     for number in (1, 2):
         made.enter(number, Phase.SERVED)
-        made.set_channel(number, True)
+        made.set_channel(number, "s0")
     assert made.free_channel() is None
     made.enter(2, Phase.UNREAD)
     assert made.free_channel() == 2
     assert 3 in made.clients  # holds no channel
 
 
+def test_slot_is_freed_by_who_has_read_nothing_for_long():
+    made, clock = make_table(5)
+    for number, upstream in ((1, "s0"), (2, "s1"), (3, "s0"), (4, "s0")):
+        made.set_channel(number, upstream)
+    for number in (1, 2, 3, 5):
+        made.enter(number, Phase.UNREAD)
+        made.set_hold(number, Hold(unread_bytes=10))
+    made.enter(4, Phase.SERVED)
+    assert made.free_slot("s0") is None
+    clock.advance(LONG_MS)
+    made.renew(1)
+    assert made.free_slot("s0") == 3
+    assert made.may_free_slot("s0")
+    made.set_hold(1, Hold())
+    assert not made.may_free_slot("s0")
+    assert made.free_slot("s0") is None  # reads, or waits for the response
+    assert made.free_slot("s1") == 2
+
+
 def test_memory_is_freed_by_who_holds_most_in_excess():
     made, _ = make_table(3)
     for number in (1, 2, 3):
@@ -240,6 +259,11 @@
             row.hold.total_bytes for row in self.table.clients.values()
         )
         assert open_bytes == self.table.open_bytes
+        assert self.table.in_excess == {
+            number
+            for number, row in self.table.clients.items()
+            if row.hold.excess_bytes
+        }
 
     def teardown(self):
         for number in range(1, self.numbers + 1):
--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -14,6 +14,7 @@
 from poplarloft.coordination.serving.leadership import WriteHolder
 from poplarloft.coordination.serving.requests import allowed_services
 from poplarloft.coordination.serving.requests import Balancer
+from poplarloft.coordination.serving.requests import FullUpstreams
 from poplarloft.coordination.serving.requests import KnownLimit
 from poplarloft.coordination.serving.requests import LeastExpectedTime
 from poplarloft.coordination.serving.requests import LimitTable
@@ -76,6 +77,7 @@
     "FeedReader",
     "INITIAL_EVENT_INTERVAL_MS",
     "ItemOutput",
+    "FullUpstreams",
     "KnownLimit",
     "LeaderLocation",
     "LeastExpectedTime",
--- a/poplarloft/coordination/serving/requests/__init__.py
+++ b/poplarloft/coordination/serving/requests/__init__.py
@@ -4,6 +4,9 @@
 from poplarloft.coordination.serving.requests.balancing import (
     LeastExpectedTime,
 )
+from poplarloft.coordination.serving.requests.full_upstreams import (
+    FullUpstreams,
+)
 from poplarloft.coordination.serving.requests.limit_table import KnownLimit
 from poplarloft.coordination.serving.requests.limit_table import LimitTable
 from poplarloft.coordination.serving.requests.lost_runs import LostRuns
@@ -27,6 +30,7 @@
 
 __all__ = [
     "Balancer",
+    "FullUpstreams",
     "KnownLimit",
     "LeastExpectedTime",
     "LimitTable",
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -71,7 +71,9 @@
         self.client = http_client.HttpClient(CONNECT_TIMEOUT_MS)
         # Calls to the store do not wait for those to upstreams.
         self.upstream_client = http_client.HttpClient(
-            CONNECT_TIMEOUT_MS, max_connections=self.shares.max_channels
+            CONNECT_TIMEOUT_MS,
+            max_connections=self.shares.max_channels,
+            notes_channels=True,
         )
         self.store = store_relay.RelayedStore(
             self.client,
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -19,6 +19,7 @@
 from poplarloft.daemon.serving.requests import crash_news
 from poplarloft.daemon.serving.requests import forwarding
 from poplarloft.daemon.serving.requests import upstream_choice
+from poplarloft.daemon.serving.requests import upstream_room
 from poplarloft.daemon.serving.rollouts import lot_intake
 from poplarloft.daemon.serving.rollouts import lot_requests
 from poplarloft.daemon.serving.rollouts import lot_service
@@ -82,6 +83,13 @@
             self.peers,
             self.leader_location,
         )
+        self.client_limits = http_server.share_limits(self.shares.requests)
+        self.request_server = self._make_server(
+            self.handle, self.client_limits
+        )
+        self.room = upstream_room.UpstreamRoom(
+            self.clock, self.request_server.buffers
+        )
         self.forwarder = forwarding.Forwarder(
             self.clock,
             client,
@@ -91,6 +99,7 @@
             self.streams,
             self.origins,
             self.usage,
+            self.room,
         )
         self.lot_service = lot_service.LotService(
             self.clock,
@@ -118,10 +127,6 @@
         )
         self.feed: feed_link.FeedLink | None = None
         self.is_stopping = False
-        self.client_limits = http_server.share_limits(self.shares.requests)
-        self.request_server = self._make_server(
-            self.handle, self.client_limits
-        )
         self.readiness_server = self._make_server(
             self.answer_readiness,
             http_server.share_limits(self.shares.control),
--- a/poplarloft/daemon/serving/requests/attempt_history.py
+++ b/poplarloft/daemon/serving/requests/attempt_history.py
@@ -8,6 +8,7 @@
 __all__ = ["AttemptHistory"]
 
 MAX_UNCOUNTED = 8
+MAX_ROOM_WAITS = 30  # until clients that read nothing are known as such
 Status = coordination.FingerprintStatus
 
 
@@ -21,6 +22,11 @@
         The upstreams tried.
     uncounted : int
         Number of attempts at upstreams that crashed or did not listen.
+    room_waits : int
+        Number of refusals after which the request waits for room.
+    room_wait_ms : int
+        Time that the next attempt waits, unless there is an upstream that
+        was not tried.
     may_have_run : bool
         Whether an upstream may have run the request.
     is_sent : bool
@@ -43,6 +49,8 @@
 
     names: list[str] = dataclasses.field(default_factory=list)
     uncounted: int = 0
+    room_waits: int = 0
+    room_wait_ms: int = 0
     may_have_run: bool = False
     is_sent: bool = False
     detail: str = "no upstream is available"
@@ -108,9 +116,16 @@
             return state.Reason.DEADLINE
         return state.Reason.UPSTREAM_FAILED
 
+    def wait_for_room(self, wait_ms: int) -> None:
+        """Let the request be sent again to upstreams that had no room."""
+        if self.room_waits < MAX_ROOM_WAITS:
+            self.room_waits += 1
+            self.room_wait_ms = wait_ms
+
     def has_attempt_left(self, route: state.PathRoute) -> bool:
         """Return whether the route allows another attempt."""
         if self.refusal is not None:
             return False
-        counted = len(self.names) - min(self.uncounted, MAX_UNCOUNTED)
+        uncounted = min(self.uncounted, MAX_UNCOUNTED) + self.room_waits
+        counted = len(self.names) - uncounted
         return counted < max(1, route.max_attempts)
--- a/poplarloft/daemon/serving/requests/forwarding.py
+++ b/poplarloft/daemon/serving/requests/forwarding.py
@@ -1,7 +1,6 @@
 """Forwards single requests of clients to upstreams."""
 
 import asyncio
-from collections import abc
 import dataclasses
 
 import eliot
@@ -16,6 +15,7 @@
 from poplarloft.daemon.serving.requests import crash_guard
 from poplarloft.daemon.serving.requests import stop_deadline
 from poplarloft.daemon.serving.requests import upstream_choice
+from poplarloft.daemon.serving.requests import upstream_room
 from poplarloft.daemon.serving.streams import stream_link
 from poplarloft.daemon.serving.streams import stream_origins
 from poplarloft.platform import ingress
@@ -69,6 +69,8 @@
         Knows these when clients take their streams up.
     usage : usage_link.UsageLink
         Counts what upstreams have begun for each account.
+    room : upstream_room.UpstreamRoom
+        Is told when an upstream has none.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         streams: stream_link.StreamLink,
         origins: stream_origins.OriginFinder,
         usage: usage_link.UsageLink,
+        room: upstream_room.UpstreamRoom,
     ) -> None:
         self.clock = clock
         self.usage = usage
@@ -91,6 +94,7 @@
         self.origins = origins
         self.stopping = stop_deadline.StopDeadline()
         self.chooser = chooser
+        self.room = room
 
     async def handle(
         self, call: ingress.ForwardedCall, route: state.PathRoute
@@ -146,6 +150,11 @@
             history.status = self.guard.status_of(identified.fingerprint)
             if history.is_restricted:
                 break
+            await self.room.wait_for_turn(
+                lambda: self.chooser.available(service, history),
+                remaining_ms,
+                history,
+            )
             sampler = await self.chooser.choose(
                 service, identified, history, need
             )
@@ -279,6 +288,8 @@
                 FailureKind.REFUSED_WITH_PROOF, detail
             )
             await self._on_failure(identified, sampler, failure, history)
+            if samplers.had_no_room(response):
+                self.room.on_refused(sampler, history)
             return None
         headers = samplers.returned_headers(response)
         response.limit_to_timeout()
@@ -309,7 +320,7 @@
             return http.HttpResponse(response.status, headers, body)
         headers += samplers.body_length(response)
         return http.HttpResponse(
-            response.status, headers, _remaining_body(body, response)
+            response.status, headers, response.chunks_after(body)
         )
 
     async def _on_failure(
@@ -384,12 +395,3 @@
         return ingress.refusal_response(
             state.Refusal(reason, history.verdict, history.detail, retry_ms)
         )
-
-
-async def _remaining_body(
-    buffered: bytes, response: http_client.UpstreamResponse
-) -> abc.AsyncIterator[bytes]:
-    """Yield the buffered start of a large response, then its rest."""
-    yield buffered
-    async for chunk in response.chunks():
-        yield chunk
--- a/poplarloft/platform/samplers.py
+++ b/poplarloft/platform/samplers.py
@@ -26,6 +26,7 @@
 
 ACCEPTED = 202
 OK = 200
+UNAVAILABLE = 503
 FIRST_FAILURE = 400
 CONFLICT = 409
 STALE_FENCE = 412
@@ -342,6 +343,11 @@
     )
 
 
+def had_no_room(response: http_client.UpstreamResponse) -> bool:
+    """Return whether the upstream may have refused for lack of room."""
+    return proves_not_run(response) and response.status == UNAVAILABLE
+
+
 def is_response_to(
     response: http_client.UpstreamResponse, request_id: str
 ) -> bool:
--- a/poplarloft/transport/channel_notes.py
+++ b/poplarloft/transport/channel_notes.py
@@ -3,6 +3,8 @@
 import contextvars
 import typing
 
+from poplarloft import state
+
 __all__ = ["ChannelHolder", "holder"]
 
 
@@ -13,7 +15,11 @@
     def is_ordinary(self) -> bool:
         """Whether its client has sent nothing beyond this request."""
 
-    def on_channel(self) -> None:
+    @property
+    def has_sent_ahead(self) -> bool:
+        """Whether its client has sent more after this request."""
+
+    def on_channel(self, upstream: state.Address) -> None:
         """Note that the request has a channel to an upstream."""
 
 
--- a/poplarloft/transport/client_buffers.py
+++ b/poplarloft/transport/client_buffers.py
@@ -51,9 +51,9 @@
             if phase is clients.Phase.UNREAD:
                 self.buffers.watch_reading()
 
-    def set_channel(self, has_channel: bool) -> None:
-        """Set whether its request may use a channel upstream."""
-        self.buffers.table.set_channel(self.number, has_channel)
+    def set_channel(self, upstream: state.Address | None) -> None:
+        """Set the upstream to which its request may use a channel."""
+        self.buffers.table.set_channel(self.number, upstream)
 
     def set_arrived(self, ahead_bytes: int, kernel_bytes: int) -> None:
         """Set what has arrived and is not yet part of a request."""
@@ -173,6 +173,18 @@
         self._close(number, "holds-channel")
         return True
 
+    def free_slot(self, upstream: state.Address) -> bool:
+        """Close a connection that does not read what an upstream sends."""
+        number = self.table.free_slot(upstream)
+        if number is None:
+            return False
+        self._close(number, "holds-slot")
+        return True
+
+    def may_free_slot(self, upstream: state.Address) -> bool:
+        """Return whether there are clients who may not read its responses."""
+        return self.table.may_free_slot(upstream)
+
     def close_all(self, numbers: abc.Iterable[int]) -> None:
         """Close connections that the table has chosen for their memory."""
         for number in numbers:
--- a/poplarloft/transport/connection_slots.py
+++ b/poplarloft/transport/connection_slots.py
@@ -41,11 +41,6 @@
         self.first: _Queue = collections.deque()
         self.others: _Queue = collections.deque()
 
-    @property
-    def is_bounded(self) -> bool:
-        """Whether there is a bound."""
-        return not math.isinf(self.count)
-
     @property
     def is_free(self) -> bool:
         """Whether a slot can be taken at once."""
--- a/poplarloft/transport/http_client.py
+++ b/poplarloft/transport/http_client.py
@@ -46,6 +46,8 @@
     max_connections : int or None
         Maximum number of connections to all addresses. Beyond it, the one
         that has been idle longest is closed, or else a request waits.
+    notes_channels : bool
+        Whether the session whose request is sent is told of it.
 
     Attributes
     ----------
@@ -59,7 +61,9 @@
         max_idle: int = 64,
         tls: ssl.SSLContext | None = None,
         max_connections: int | None = None,
+        notes_channels: bool = False,
     ) -> None:
+        self.notes_channels = notes_channels
         self.slots = connection_slots.ConnectionSlots(max_connections)
         self.on_exhausted: abc.Callable[[], object] = lambda: None
         # Those idle longest come first.
@@ -110,8 +114,8 @@
         match opened:
             case result.Success(connection):
                 holder = channel_notes.holder.get()
-                if self.slots.is_bounded and holder is not None:
-                    holder.on_channel()
+                if self.notes_channels and holder is not None:
+                    holder.on_channel(address)
                 return await self._exchange(
                     address,
                     connection,
--- a/poplarloft/transport/http_session.py
+++ b/poplarloft/transport/http_session.py
@@ -141,18 +141,26 @@
         finally:
             self.is_serving = False
             self.stream.set_end_listener(None)
-            self.buffer.set_channel(False)
+            self.buffer.set_channel(None)
             channel_notes.holder.reset(token)
 
     @property
     def is_ordinary(self) -> bool:
         """Whether its client has sent nothing beyond this request."""
-        is_complete = self.buffer.phase is clients.Phase.SERVED
-        return is_complete and not self.buffer.hold.ahead_bytes
+        return self._is_complete and not self.buffer.hold.ahead_bytes
 
-    def on_channel(self) -> None:
+    @property
+    def has_sent_ahead(self) -> bool:
+        """Whether its client has sent more after this request."""
+        return self._is_complete and self.buffer.hold.ahead_bytes > 0
+
+    @property
+    def _is_complete(self) -> bool:
+        return self.buffer.phase is clients.Phase.SERVED
+
+    def on_channel(self, upstream: state.Address) -> None:
         """Note that the request has a channel to an upstream."""
-        self.buffer.set_channel(True)
+        self.buffer.set_channel(upstream)
 
     def _on_departure(self) -> None:
         """Cancel the session, once, so that it ends in order."""
--- a/poplarloft/transport/responses.py
+++ b/poplarloft/transport/responses.py
@@ -123,6 +123,12 @@
         finally:
             self.close()
 
+    async def chunks_after(self, start: bytes) -> abc.AsyncIterator[bytes]:
+        """Yield the start of the body, which was read, and then its rest."""
+        yield start
+        async for chunk in self.chunks():
+            yield chunk
+
     async def read(self, max_bytes: int) -> bytes:
         """Return the complete body.
 
