End unread streams for requests that wait at their upstream

Seen: an upstream that queues requests was full of streams that clients of one entry did not read.

Cause: a queue hides that the upstream is full, so no refusal tells of it; and an entry sees nothing of what others wait for.

Now an entry whose clients have read nothing for a second asks their upstreams for reports, twice a second, and ends as many of the streams as requests wait there. Entries without such clients ask nothing.

--- a/poplarloft/coordination/clients/table.py
+++ b/poplarloft/coordination/clients/table.py
@@ -202,12 +202,10 @@
 
         Its client reads nothing of the response, and has not for long.
         """
-        patient_ms = self.clock.now_ms() - PATIENCE_MS
         return self._close_first(
             number
-            for since_ms, number in self._by_age(Phase.UNREAD)
-            if since_ms <= patient_ms
-            and self.clients[number].upstream == upstream
+            for number in self._stalled()
+            if self.clients[number].upstream == upstream
         )
 
     def may_free_slot(self, upstream: abc.Hashable) -> bool:
@@ -220,6 +218,19 @@
             for number in self.in_excess
         )
 
+    def stalled_upstreams(self) -> set[abc.Hashable]:
+        """Return where requests take places for nothing."""
+        found = {self.clients[n].upstream for n in self._stalled()}
+        return {upstream for upstream in found if upstream is not None}
+
+    def _stalled(self) -> abc.Iterator[int]:
+        """Yield the clients that have read nothing for long."""
+        patient_ms = self.clock.now_ms() - PATIENCE_MS
+        for since_ms, number in self._by_age(Phase.UNREAD):
+            if since_ms > patient_ms:
+                return
+            yield number
+
     def _by_right_to_stay(self) -> abc.Iterator[int]:
         """Yield who may go, those first that have the least right to stay.
 
--- a/poplarloft/coordination/clients/tests/test_table.py
+++ b/poplarloft/coordination/clients/tests/test_table.py
@@ -90,12 +90,14 @@
     assert made.free_slot("s0") is None
     clock.advance(LONG_MS)
     made.renew(1)
+    assert made.stalled_upstreams() == {"s0", "s1"}
     assert made.free_slot("s0") == 3
     assert made.may_free_slot("s0")
     made.set_hold(1, Hold())
     assert not made.may_free_slot("s0")
     assert made.free_slot("s0") is None  # reads, or waits for the response
     assert made.free_slot("s1") == 2
+    assert made.stalled_upstreams() == set()
 
 
 def test_memory_is_freed_by_who_holds_most_in_excess():
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -88,7 +88,11 @@
             self.handle, self.client_limits
         )
         self.room = upstream_room.UpstreamRoom(
-            self.clock, self.request_server.buffers
+            self.clock,
+            client,
+            self.samplers.registry,
+            self.task_set,
+            self.request_server.buffers,
         )
         self.forwarder = forwarding.Forwarder(
             self.clock,
@@ -134,6 +138,7 @@
         self.upstream_client.on_exhausted = (
             self.request_server.buffers.free_channel
         )
+        self.request_server.buffers.on_stalled = self.room.on_stalled
         self.operator.listeners.append(self._apply_limits)
         self.samplers.listeners.append(
             lambda: self.limits.follow(self.samplers.registry)
--- a/poplarloft/daemon/serving/requests/upstream_room.py
+++ b/poplarloft/daemon/serving/requests/upstream_room.py
@@ -8,6 +8,8 @@
 
 from poplarloft.coordination import serving
 from poplarloft.daemon.serving.requests import attempt_history
+from poplarloft.daemon import tasks
+from poplarloft.platform import samplers
 from poplarloft import state
 from poplarloft.transport import channel_notes
 
@@ -27,6 +29,9 @@
     def may_free_slot(self, upstream: state.Address) -> bool:
         """Return whether there are requests that clients may not read."""
 
+    def stalled_upstreams(self) -> abc.Container[abc.Hashable]:
+        """Return the addresses at which there are such requests."""
+
 
 class UpstreamRoom:
     """Decides what follows when an upstream has no room for a request.
@@ -35,13 +40,30 @@
     ----------
     clock : state.Clock
         Monotonic clock.
+    client : samplers.SamplerClient
+        Asks upstreams how many requests wait there.
+    registry : serving.SamplerRegistry
+        The announced upstreams.
+    task_set : tasks.TaskSet
+        Runs what is done beside requests.
     holders : SlotHolders
         Clients of this instance.
     """
 
-    def __init__(self, clock: state.Clock, holders: SlotHolders) -> None:
+    def __init__(
+        self,
+        clock: state.Clock,
+        client: samplers.SamplerClient,
+        registry: serving.SamplerRegistry,
+        task_set: tasks.TaskSet,
+        holders: SlotHolders,
+    ) -> None:
         self.full = serving.FullUpstreams(clock)
+        self.client = client
+        self.registry = registry
+        self.task_set = task_set
         self.holders = holders
+        self.relief: asyncio.Task[None] | None = None
 
     async def wait_for_turn(
         self,
@@ -77,8 +99,36 @@
         holder = channel_notes.holder.get()
         if holder is None or not holder.is_ordinary:
             return
-        if self.holders.free_slot(sampler.address):
-            eliot.log_message("upstream-slot-freed", upstream=sampler.name)
+        if self._free_slot(sampler):
             history.wait_for_room(FREEING_MS)
         elif self.holders.may_free_slot(sampler.address):
             history.wait_for_room(ROOM_INTERVAL_MS)
+
+    def on_stalled(self) -> None:
+        """Make room for those who wait at upstreams, also for others'."""
+        if self.relief is None or self.relief.done():
+            self.relief = self.task_set.spawn(self._relieve())
+
+    async def _relieve(self) -> None:
+        """End as many requests that nobody reads as wait for a place."""
+        addresses = self.holders.stalled_upstreams()
+        upstreams = [
+            sampler
+            for sampler in self.registry.known.values()
+            if sampler.address in addresses
+        ]
+        await asyncio.gather(*map(self._relieve_one, upstreams))
+
+    async def _relieve_one(self, sampler: state.Sampler) -> None:
+        report = await self.client.report(sampler)
+        if report is None:
+            return
+        for _ in range(report.waiting):
+            if not self._free_slot(sampler):
+                return
+
+    def _free_slot(self, sampler: state.Sampler) -> bool:
+        is_freed = self.holders.free_slot(sampler.address)
+        if is_freed:
+            eliot.log_message("upstream-slot-freed", upstream=sampler.name)
+        return is_freed
--- a/poplarloft/platform/reports.py
+++ b/poplarloft/platform/reports.py
@@ -46,11 +46,14 @@
         Whether the engine is carrying out an order.
     orders_accepted : int
         Number of orders accepted since the engine's start.
+    waiting : int
+        Number of requests that wait for a slot.
     """
 
     versions: dict[str, int]
     is_loading: bool
     orders_accepted: int
+    waiting: int = 0
 
 
 async def read_report(
@@ -65,7 +68,7 @@
     except (http_client.TruncatedResponseError, errors.ProtocolError):
         return None
     versions = {model.name: model.version for model in row.models}
-    return EngineReport(versions, row.busy, row.sequence)
+    return EngineReport(versions, row.busy, row.sequence, row.num_waiting)
 
 
 async def probe_outcome(
--- a/poplarloft/transport/client_buffers.py
+++ b/poplarloft/transport/client_buffers.py
@@ -105,6 +105,11 @@
     on_closed : callable
         Called with the reason for which a connection was closed, and what
         it held.
+
+    Attributes
+    ----------
+    on_stalled : callable
+        Called while clients have read nothing for long, from time to time.
     """
 
     def __init__(
@@ -120,6 +125,7 @@
         self.connections: dict[int, ConnectionBuffer] = {}
         self.numbers = itertools.count(1)
         self.next_look: asyncio.TimerHandle | None = None
+        self.on_stalled: abc.Callable[[], object] = lambda: None
 
     @property
     def open_count(self) -> int:
@@ -148,8 +154,11 @@
         reading = self.table.in_phase(clients.Phase.UNREAD)
         for number in reading:
             self.connections[number].note_reading()
-        if reading:
-            self.watch_reading()
+        if not reading:
+            return
+        self.watch_reading()
+        if self.stalled_upstreams():
+            self.on_stalled()
 
     def close_excess(self) -> None:
         """Close connections until the bound on memory holds."""
@@ -173,6 +182,10 @@
         self._close(number, "holds-channel")
         return True
 
+    def stalled_upstreams(self) -> set[abc.Hashable]:
+        """Return the upstreams that send what nobody reads."""
+        return self.table.stalled_upstreams()
+
     def free_slot(self, upstream: state.Address) -> bool:
         """Close a connection that does not read what an upstream sends."""
         number = self.table.free_slot(upstream)
--- a/standins/sampler.py
+++ b/standins/sampler.py
@@ -65,6 +65,10 @@
         Version of the upstream's software, as announced.
     names_version : bool
         Whether each event names that version at its end.
+    queue : int
+        Number of requests that wait while all slots are taken.
+    waiting : list of asyncio.Future
+        Done when it is the turn of a request that waits.
     leaving_headers : tuple of (str, str)
         Headers of all its responses that tell whether it leaves.
     leaving_since : float or None
@@ -86,6 +90,8 @@
         self.slots = slots
         self.event_ms = event_ms
         self.running = 0
+        self.queue = 0
+        self.waiting: list[asyncio.Future[None]] = []
         self.runs: list[str] = []
         self.run_times: list[tuple[str, float]] = []
         self.headers: dict[str, dict[str, str]] = {}
@@ -195,13 +201,28 @@
             return self._order(msgspec.json.decode(request.body))
         self.rate.on_request(request.headers.get("x-request-id", ""))
         limit = self.limit_headers or self.rate.headers()
-        if self.running >= self.slots:
+        if not await self._has_slot():
             return http.HttpResponse(503, (("X-Not-Run", "1"), *limit))
         response = await self._run(request)
         return dataclasses.replace(
             response, headers=(*response.headers, *limit)
         )
 
+    async def _has_slot(self) -> bool:
+        """Return whether there is a slot, after a wait in the queue."""
+        if self.running < self.slots:
+            return True
+        if len(self.waiting) >= self.queue:
+            return False
+        turn = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        try:
+            await turn
+        finally:
+            if turn in self.waiting:
+                self.waiting.remove(turn)
+        return True
+
     async def _run(self, request: http.HttpRequest) -> http.HttpResponse:
         request_id = request.headers.get("x-request-id", "")
         self.runs.append(request_id)
@@ -264,6 +285,15 @@
                 yield f"id: {number}\ndata: {data}\n\n".encode()
         finally:
             self.running -= 1
+            self._call_next()
+
+    def _call_next(self) -> None:
+        """Give the slot that has become free to who has waited longest."""
+        while self.waiting:
+            turn = self.waiting.pop(0)
+            if not turn.done():
+                turn.set_result(None)
+                return
 
     def _report(self) -> http.HttpResponse:
         models = [
@@ -277,6 +307,8 @@
                 "busy": False,
                 "sequence": len(self.orders),
                 "born": self.born_ms,
+                "num_waiting": len(self.waiting),
+                "num_running": self.running,
             }
         )
 
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -56,6 +56,8 @@
         Whether it closes its connections in the end.
     listener : str
         The listener of the daemon that it connects to.
+    queue : int
+        Number of requests that the upstream queues once it is full.
     machine : Machine
         The machine that has to bear it.
     """
@@ -67,6 +69,7 @@
     pauses: bool = False
     leaves: bool = False
     listener: str = "requests"
+    queue: int = 0
     machine: Machine = dataclasses.field(default_factory=Machine)
 
 
@@ -148,6 +151,9 @@
     "many-streams": Form(
         600, 200 * KIB, ahead("/s/x", *STREAMED), machine=WIDE
     ),
+    "queued-streams": Form(
+        600, 200 * KIB, ahead("/s/x", *STREAMED), queue=8, machine=WIDE
+    ),
     "silent-readiness": Form(200, 0, nothing, listener="readiness"),
     "silent-metrics": Form(200, 0, nothing, listener="metrics"),
     "silent-relay": Form(200, 0, nothing, listener="relay"),
--- a/tests/test_serving_crowds.py
+++ b/tests/test_serving_crowds.py
@@ -71,11 +71,12 @@
 class Entry:
     """A store, an upstream, and an entry daemon as a process."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, queue):
         self.store = revision_store.RevisionStoreStandin()
         self.upstream = SlowPathSampler("s0", slots=64)
         self.upstream.work_ms = WORK_MS
         self.upstream.padding = EVENT_PADDING
+        self.upstream.queue = queue
         self.folder = folder
         self.metrics_address = processes.free_address()
         self.client = http_client.HttpClient()
@@ -201,7 +202,7 @@
     }
     for name, value in settings.items():
         monkeypatch.setenv(name, str(value))
-    made = Entry(tmp_path)
+    made = Entry(tmp_path, crowd.FORMS[form].queue)
     await made.start()
     yield made
     await made.stop()
--- a/tests/test_serving_slots.py
+++ b/tests/test_serving_slots.py
@@ -38,7 +38,7 @@
     return client
 
 
-@pytest.mark.parametrize(("queue", "entry"), [(0, 0)])
+@pytest.mark.parametrize(("queue", "entry"), [(0, 0), (1, 1)])
 async def test_stalled_streams_make_room_at_a_full_upstream(
     fleet, queue, entry
 ):
