Let the system enforce the bound on descriptors

Cause: ZeroMQ accepts in a thread of its own. A burst is accepted before the event loop learns of the first connection, whatever it closes then.

Tried without success: TCP_DEFER_ACCEPT on the listener (past by cookies in a burst), a backlog of 16.

ZeroMQ then leaves connections in the kernel until some of its own have been closed. Ending one takes no descriptor any more, nor does a failure to open one end a message or a watch with an error.

--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -16,6 +16,7 @@
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 from poplarloft.transport import http_server
+from poplarloft.transport import process_limits
 
 __all__ = ["run_platform"]
 
@@ -29,6 +30,8 @@
         If a setting is invalid.
     """
     settings = serving_settings.load_serving_settings(arguments)
+    if settings.max_descriptors is not None:
+        process_limits.limit_descriptors(settings.max_descriptors)
     shares = base.machine_shares(settings)
     recorder = telemetry.Telemetry(
         state.MonotonicClock(),
--- a/poplarloft/transport/departures.py
+++ b/poplarloft/transport/departures.py
@@ -22,7 +22,10 @@
     def watch(self, descriptor: int, on_left: abc.Callable[[], None]) -> None:
         """Call `on_left` once the other side of a socket has ended."""
         if self.poller is None:
-            self.poller = select.epoll()
+            try:
+                self.poller = select.epoll()
+            except OSError:
+                return  # no descriptor is free
             loop = asyncio.get_running_loop()
             loop.add_reader(self.poller.fileno(), self._on_events)
         self.listeners[descriptor] = on_left
--- a/poplarloft/transport/peer_connections.py
+++ b/poplarloft/transport/peer_connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 
 import eliot
@@ -74,7 +73,9 @@
         eliot.log_message("peer-refused", open=len(self.open))
         # It may be closed already, and its number in use elsewhere.
         with contextlib.suppress(OSError):
-            copied = socket.socket(fileno=os.dup(descriptor))
-            with contextlib.closing(copied):
-                if copied.getsockname()[1] == self.port:
-                    copied.shutdown(socket.SHUT_RDWR)
+            accepted = socket.socket(fileno=descriptor)
+            try:
+                if accepted.getsockname()[1] == self.port:
+                    accepted.shutdown(socket.SHUT_RDWR)
+            finally:
+                accepted.detach()
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import errno
 
 import zmq
 import zmq.auth.asyncio
@@ -151,10 +152,10 @@
         """
         if self.context.closed:
             return False
-        sender = self.senders.get((address, is_bulk))
+        sender = self._sender(address, server_key, is_bulk)
         if sender is None:
-            sender = self._connect(address, server_key)
-            self.senders[address, is_bulk] = sender
+            self.dropped_messages += 1
+            return False
         try:
             sender.send(data, zmq.NOBLOCK)
             self.sent_messages += 1
@@ -164,6 +165,24 @@
             return False
         return True
 
+    def _sender(
+        self,
+        address: state.Address,
+        server_key: bytes | None,
+        is_bulk: bool,
+    ) -> "zmq.Socket[bytes] | None":
+        """Return the socket for an address, None if no descriptor is free."""
+        sender = self.senders.get((address, is_bulk))
+        if sender is None:
+            try:
+                sender = self._connect(address, server_key)
+            except zmq.ZMQError as error:
+                if error.errno != errno.EMFILE:
+                    raise
+                return None
+            self.senders[address, is_bulk] = sender
+        return sender
+
     def disconnect(self, address: state.Address) -> None:
         """Close the sockets that send to a peer."""
         for is_bulk in (False, True):
