Let no trickle of reads count as reading

Found by reading: any byte read since the last look made a client one that acts, so that a crowd which reads a few bytes now and then would have kept its places and slots, as bodies that grow by a byte may not.

Now a client acts if it has read at least 4 KiB between two looks.

Measured: the table's tests cover it, and the slow reader of test_places.py (20 KB/s) still keeps its place.

--- a/poplarloft/coordination/clients/table.py
+++ b/poplarloft/coordination/clients/table.py
@@ -12,6 +12,9 @@
 Phase = holds.Phase
 # A client that acts within this time is not closed before those that don't.
 PATIENCE_MS = 1_000
+# A client that has read less since it was last looked at does not act: who
+# reads a few bytes now and then holds as much as who reads nothing.
+LEAST_READ_BYTES = 4_096
 # Below the bound by so much after connections were closed for memory, so
 # that not each byte that arrives leads to a ranking.
 RELIEF_SHARE = 0.95
@@ -113,10 +116,13 @@
         client.since_ms = self.clock.now_ms()
         self.phases[phase][number] = None
 
-    def renew(self, number: int) -> None:
-        """Note that a client acts, though it stays in its phase."""
+    def note_read(self, number: int, size: int) -> None:
+        """Note that a client has read a part of its answer.
+
+        It acts if that is much for the time between two looks.
+        """
         client = self.clients.get(number)
-        if client is not None:
+        if client is not None and size >= LEAST_READ_BYTES:
             client.since_ms = self.clock.now_ms()
             phase = self.phases[client.phase]
             phase[number] = phase.pop(number)
--- a/poplarloft/coordination/clients/tests/test_table.py
+++ b/poplarloft/coordination/clients/tests/test_table.py
@@ -47,7 +47,8 @@
     made.enter(2, Phase.UNREAD)
     made.enter(3, Phase.IDLE)
     clock.advance(LONG_MS)
-    made.renew(1)
+    made.note_read(1, table.LEAST_READ_BYTES)
+    made.note_read(2, table.LEAST_READ_BYTES - 1)
     assert [made.make_room() for _ in range(3)] == [2, 3, 1]
 
 
@@ -89,7 +90,7 @@
     made.enter(4, Phase.SERVED)
     assert made.free_slot("s0") is None
     clock.advance(LONG_MS)
-    made.renew(1)
+    made.note_read(1, table.LEAST_READ_BYTES)
     assert made.stalled_upstreams() == {"s0", "s1"}
     assert made.free_slot("s0") == 3
     assert made.may_free_slot("s0")
@@ -230,11 +231,11 @@
             self.table.enter(number, Phase.IDLE)
             self.hold(number, unread_bytes=0, body_bytes=0)
 
-    @stateful.rule(data=strategies.data())
-    def read_some(self, data):
+    @stateful.rule(data=strategies.data(), size=strategies.integers(0, 9_000))
+    def read_some(self, data, size):
         number = self.pick(data, Phase.UNREAD)
         if number is not None:
-            self.table.renew(number)
+            self.table.note_read(number, size)
 
     @stateful.rule(data=strategies.data())
     def leave(self, data):
--- a/poplarloft/transport/client_buffers.py
+++ b/poplarloft/transport/client_buffers.py
@@ -64,11 +64,11 @@
         self._update(unread_bytes=size)
 
     def note_reading(self) -> None:
-        """Note whether the client has read some of what it was sent."""
+        """Note what the client has read since it was last looked at."""
         unread_bytes = self.measure_unread()
-        if unread_bytes < self.hold.unread_bytes:
-            self._update(unread_bytes=unread_bytes)
-            self.buffers.table.renew(self.number)
+        read_bytes = self.hold.unread_bytes - unread_bytes
+        self._update(unread_bytes=unread_bytes)
+        self.buffers.table.note_read(self.number, read_bytes)
 
     def take_body(self, size: int) -> bool:
         """Set the memory for the request; return whether it may be used."""
