Let no upload hold others back at a full upstream

Found by reading: the bytes of a body that is passed on as it arrives count as sent ahead, so that an ordinary request which a full upstream had refused would be sent again for 1.5 s because of an upload there, which does not end sooner for that.

Now only requests that have arrived completely count there.

Measured: the table's test fails without it, passes with it.

--- a/poplarloft/coordination/clients/table.py
+++ b/poplarloft/coordination/clients/table.py
@@ -18,6 +18,7 @@
 # Below the bound by so much after connections were closed for memory, so
 # that not each byte that arrives leads to a ranking.
 RELIEF_SHARE = 0.95
+ANSWER_PHASES = (Phase.SERVED, Phase.UNREAD)
 WAITING_PHASES = (Phase.UNREAD, Phase.RECEIVING, Phase.SILENT)
 
 
@@ -217,11 +218,13 @@
     def may_free_slot(self, upstream: abc.Hashable) -> bool:
         """Return whether a request there is one whose client may not read.
 
-        It has not read all of an answer, or has sent more requests ahead.
+        It has not read all of an answer, or has sent more requests ahead. A
+        body that is passed on as it arrives is neither.
         """
+        rows = (self.clients[number] for number in self.in_excess)
         return any(
-            self.clients[number].upstream == upstream
-            for number in self.in_excess
+            row.upstream == upstream and row.phase in ANSWER_PHASES
+            for row in rows
         )
 
     def stalled_upstreams(self) -> set[abc.Hashable]:
--- a/poplarloft/coordination/clients/tests/test_table.py
+++ b/poplarloft/coordination/clients/tests/test_table.py
@@ -96,6 +96,10 @@
     assert made.may_free_slot("s0")
     made.set_hold(1, Hold())
     assert not made.may_free_slot("s0")
+    made.set_hold(4, Hold(ahead_bytes=10))
+    assert made.may_free_slot("s0")
+    made.enter(4, Phase.RECEIVING)  # a body that is passed on
+    assert not made.may_free_slot("s0")
     assert made.free_slot("s0") is None  # reads, or waits for the response
     assert made.free_slot("s1") == 2
     assert made.stalled_upstreams() == set()
