--- a/tests/test_serving_metering.py
+++ b/tests/test_serving_metering.py
@@ -76,6 +76,16 @@
     return counts
 
 
+async def reports_all(fleet, sent, timeout_s=10):
+    """Wait until all that was sent is reported; name what differs if not."""
+    try:
+        await serving_fleet.eventually(lambda: total(fleet) == sent, timeout_s)
+    except TimeoutError:
+        raise AssertionError(
+            f"sent {sent}, reported {total(fleet)} in {reported(fleet)}"
+        ) from None
+
+
 async def announced(fleet):
     """Wait until entries know the leader."""
     await serving_fleet.eventually(
@@ -86,7 +96,7 @@
 async def test_each_request_is_counted_in_one_window(fleet):
     await announced(fleet)
     sent = await send_for(fleet, 3)
-    await serving_fleet.eventually(lambda: total(fleet) == sent)
+    await reports_all(fleet, sent)
     assert len(reported(fleet)) >= 3
     check_fences(fleet)
 
@@ -98,7 +108,7 @@
     leader = next(d for d in fleet.bulks if d.election.scheduler)
     await fleet.kill(leader)
     sent = await sending
-    await serving_fleet.eventually(lambda: total(fleet) == sent, timeout_s=20)
+    await reports_all(fleet, sent, timeout_s=20)
     holders = {call.holder for call in fleet.infrastructure.calls}
     assert len(holders) == 2
     check_fences(fleet)
@@ -114,7 +124,7 @@
     await asyncio.sleep(1)
     fleet.infrastructure.is_down = False
     sent = await sending
-    await serving_fleet.eventually(lambda: total(fleet) == sent, timeout_s=20)
+    await reports_all(fleet, sent, timeout_s=20)
 
 
 async def test_counts_are_recorded_before_they_are_reported(fleet):
