Pass the listener's limits on by name

Cause: Node gave ServerLimits five values by position, and put the time in which a client reads nothing before the number of connections.

Now all are passed by name.

--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -373,11 +373,11 @@
     def _server_limits(self) -> http_server.ServerLimits:
         settings = self.settings
         return http_server.ServerLimits(
-            settings.max_head_bytes,
-            settings.head_timeout_ms,
-            settings.body_timeout_ms,
-            settings.idle_timeout_ms,
-            settings.max_connections,
+            max_head_bytes=settings.max_head_bytes,
+            head_timeout_ms=settings.head_timeout_ms,
+            body_timeout_ms=settings.body_timeout_ms,
+            idle_timeout_ms=settings.idle_timeout_ms,
+            max_connections=settings.max_connections,
         )
 
     def _tls_context(self) -> ssl.SSLContext | None:
