Bound what clients take of a standalone daemon's machine

Seen: before a daemon of our own platform, the crowds of the entry's tests took 177 MB of 160 (many-connections) and 220 descriptors of 120 (silent, silent-peers).

Cause: it had no settings for its machine. Its listener had the default bounds, and its channels to upstreams none.

What concerns its listener moved to daemon/listening.py.

--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -15,6 +15,8 @@
 from poplarloft.daemon import frontend
 from poplarloft.daemon import generation
 from poplarloft.daemon import gossip_bridge
+from poplarloft.daemon import listening
+from poplarloft.daemon import machine
 from poplarloft.daemon import operators
 from poplarloft.daemon import relay
 from poplarloft.daemon import rollouts
@@ -64,7 +66,14 @@
         )
         self.location = state.Location(settings.region, settings.data_centre)
         self.task_set = tasks.TaskSet()
+        self.shares = machine.machine_shares(settings)
         self.client = http_client.HttpClient(settings.connect_timeout_ms)
+        # Calls to the store do not wait for those to upstreams.
+        self.upstream_client = http_client.HttpClient(
+            settings.connect_timeout_ms,
+            max_connections=self.shares.max_channels,
+            notes_channels=True,
+        )
         self.store = key_value.HttpKeyValueStore(
             self.client, addresses.parse_address(settings.key_value)
         )
@@ -102,18 +111,19 @@
         self.snapshots = self._make_snapshots()
         self.update_store = coordination.UpdateStore()
         self.sockets = peers.PeerSockets(
-            self._on_peer_bytes, self._curve_keys()
+            self._on_peer_bytes, self._curve_keys(), self.shares.max_peers
         )
         self.fleet: fleet.FleetService | None = None
         self.stop_requested = asyncio.Event()
         self.frontend = self._make_frontend()
-        self.tls = self._tls_context()
+        self.tls = listening.tls_context(settings)
         self.server = http_server.HttpServer(
             self.frontend.handle,
-            self._server_limits(),
+            listening.server_limits(settings, self.shares),
             self.relay.max_body_bytes,
             self.tls,
         )
+        self.upstream_client.on_exhausted = self.server.buffers.free_channel
         self.address: state.Address | None = None
 
     @property
@@ -163,7 +173,7 @@
         await self.task_set.cancel_all()
         if self.fleet is not None:
             self.fleet.stop()
-        self.client.close()
+        self._close_clients()
         eliot.log_message("stopped", cut=aborted)
 
     async def kill(self) -> None:
@@ -172,7 +182,11 @@
         await self.task_set.cancel_all()
         if self.fleet is not None:
             self.fleet.stop()
+        self._close_clients()
+
+    def _close_clients(self) -> None:
         self.client.close()
+        self.upstream_client.close()
 
     def _join_fleet(self, address: state.Address) -> fleet.FleetService:
         settings = self.settings
@@ -277,7 +291,7 @@
         self.dispatcher = dispatch.Dispatcher(
             self.clock,
             self.upstreams,
-            self.client,
+            self.upstream_client,
             self.policy,
             self.guard,
             self._broadcast,
@@ -307,7 +321,7 @@
 
     def _make_rollouts(self) -> rollouts.RolloutService:
         producer = generation.SampleProducer(
-            self.client, self.upstreams, self.policy, self.meter
+            self.upstream_client, self.upstreams, self.policy, self.meter
         )
         return rollouts.RolloutService(
             self.clock,
@@ -369,22 +383,3 @@
         return metrics.StatsdMetrics(
             addresses.parse_address(self.settings.statsd)
         )
-
-    def _server_limits(self) -> http_server.ServerLimits:
-        settings = self.settings
-        return http_server.ServerLimits(
-            max_head_bytes=settings.max_head_bytes,
-            head_timeout_ms=settings.head_timeout_ms,
-            body_timeout_ms=settings.body_timeout_ms,
-            idle_timeout_ms=settings.idle_timeout_ms,
-            max_connections=settings.max_connections,
-        )
-
-    def _tls_context(self) -> ssl.SSLContext | None:
-        if self.settings.tls_certificate is None:
-            return None
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.load_cert_chain(
-            self.settings.tls_certificate, self.settings.tls_key
-        )
-        return context
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -4,6 +4,7 @@
 
 from poplarloft.coordination import clients
 from poplarloft.coordination import serving
+from poplarloft.daemon import machine
 from poplarloft.daemon.serving.fleet import leaving_link
 from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft.daemon.serving.fleet import response_notes
@@ -19,9 +20,8 @@
 from poplarloft import state
 from poplarloft.transport import http_client
 from poplarloft.transport import http_server
-from poplarloft.transport import process_memory
 
-__all__ = ["ServingBase", "machine_shares"]
+__all__ = ["ServingBase"]
 
 FAR_MS = 60.0
 NEAR_MS = 2.0
@@ -32,19 +32,6 @@
 LIVE_SETTINGS = frozenset({"store", "regions", "grace_s", "drain_notice_ms"})
 
 
-def machine_shares(
-    settings: serving_settings.ServingSettings,
-) -> clients.MachineShares:
-    """Return what clients may take of the machine of this process."""
-    return clients.share_machine(
-        clients.Machine(
-            settings.memory_mb,
-            settings.max_descriptors,
-            process_memory.resident_bytes(),
-        )
-    )
-
-
 class ServingBase:
     """Base class of the entry and the bulk daemon.
 
@@ -67,7 +54,7 @@
         self.wall_clock = state.WallClock()
         self.rng = random.Random()
         self.task_set = tasks.TaskSet()
-        self.shares = machine_shares(settings)
+        self.shares = machine.machine_shares(settings)
         self.client = http_client.HttpClient(CONNECT_TIMEOUT_MS)
         # Calls to the store do not wait for those to upstreams.
         self.upstream_client = http_client.HttpClient(
--- a/poplarloft/daemon/serving/main.py
+++ b/poplarloft/daemon/serving/main.py
@@ -6,7 +6,7 @@
 
 import eliot
 
-from poplarloft.daemon.serving import base
+from poplarloft.daemon import machine
 from poplarloft.daemon.serving import bulk
 from poplarloft.daemon.serving import entry
 from poplarloft.daemon.serving import reloading
@@ -16,7 +16,6 @@
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 from poplarloft.transport import http_server
-from poplarloft.transport import process_limits
 
 __all__ = ["run_platform"]
 
@@ -30,9 +29,8 @@
         If a setting is invalid.
     """
     settings = serving_settings.load_serving_settings(arguments)
-    if settings.max_descriptors is not None:
-        process_limits.limit_descriptors(settings.max_descriptors)
-    shares = base.machine_shares(settings)
+    machine.limit_process(settings)
+    shares = machine.machine_shares(settings)
     recorder = telemetry.Telemetry(
         state.MonotonicClock(),
         settings.name,
--- a/poplarloft/daemon/standalone.py
+++ b/poplarloft/daemon/standalone.py
@@ -5,6 +5,7 @@
 import signal
 
 from poplarloft.daemon import logs
+from poplarloft.daemon import machine
 from poplarloft.daemon import node as node_module
 from poplarloft.daemon import tasks
 from poplarloft.protocol import settings as settings_module
@@ -21,6 +22,7 @@
         If a setting is invalid.
     """
     settings = settings_module.load_settings(arguments)
+    machine.limit_process(settings)
     logs.start_logging(settings.name)
     asyncio.run(_run(settings))
 
--- a/poplarloft/protocol/settings.py
+++ b/poplarloft/protocol/settings.py
@@ -116,6 +116,20 @@
         le=100_000,
         description="Maximum number of open client connections",
     )
+    memory_mb: int | None = pydantic.Field(
+        default=None,
+        ge=64,
+        le=1_000_000,
+        description="Memory that this process may use, in MB; bounds what "
+        "is held for clients",
+    )
+    max_descriptors: int | None = pydantic.Field(
+        default=None,
+        ge=100,
+        le=10_000_000,
+        description="Descriptors that this process may open; bounds the "
+        "connections of clients",
+    )
     max_concurrent: int = pydantic.Field(
         default=512,
         ge=1,
--- a/tests/test_serving_crowds.py
+++ b/tests/test_serving_crowds.py
@@ -44,13 +44,17 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
-def kernel_bytes(host):
+def kernel_bytes(host, port=None):
     """Return what the kernel holds for all connections at an address.
 
+    Without a port, all ports of the host count.
+
     Bytes that have arrived and weren't read, and those that were sent and
     have not reached the other side.
     """
-    address = socket.inet_aton(host)[::-1].hex().upper()
+    address = f"{socket.inet_aton(host)[::-1].hex().upper()}:"
+    if port is not None:
+        address += f"{port:04X}"
     held = 0
     for row in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = row.split()
