Bound what peers make the kernel hold

Seen, with a new form of crowd: 12 connections to the socket for peers speak ZeroMQ's protocol and send messages of 1.9 MB as fast as they can: 110 MB in the process and 187 MB in the kernel, on 160 MB.

Cause: the kernel's receive buffers grow to several MB a connection, and ZeroMQ queues 1,000 messages of each before it lets the sender wait.

Now, where the memory of the machine is known, all receive buffers of peers together take a tenth of the free memory (32 to 128 KiB each), and 16 messages of a connection wait.

--- a/poplarloft/coordination/clients/shares.py
+++ b/poplarloft/coordination/clients/shares.py
@@ -26,6 +26,9 @@
 # Of the memory for a listener's connections: as much again in the kernel.
 KERNEL_SHARE = 0.5
 MIN_RECEIVE_BYTES = 32_768
+MAX_RECEIVE_BYTES = 131_072
+PEER_KERNEL_MEMORY = 0.1
+KERNEL_FACTOR = 2  # the kernel allows twice what it is asked for
 MIN_BACKLOG = 512
 MAX_BACKLOG = 1_024
 CONTROL_BACKLOG = 128
@@ -100,7 +103,7 @@
     max_connections: int
     max_bytes: int
     backlog: int = MAX_BACKLOG
-    receive_bytes: int = 131_072
+    receive_bytes: int = MAX_RECEIVE_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +124,8 @@
         Number of connections to upstreams; None for no bound.
     max_peers : int
         Number of connections that other instances make for messages.
+    peer_receive_bytes : int or None
+        Receive buffer of each of these; None for the kernel's own choice.
     """
 
     requests: ListenerShare = ListenerShare(4_000, 256 * MIB)
@@ -130,6 +135,7 @@
     open_lot_bytes: int = 256 * MIB
     max_channels: int | None = None
     max_peers: int = 2_000
+    peer_receive_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,11 +161,17 @@
         peers = max(1, min(peers, share))
     lot_bytes = most.lot_bytes
     open_lot_bytes = most.open_lot_bytes
+    receive_bytes = most.peer_receive_bytes
     if machine.free_bytes is not None:
         free_bytes = machine.free_bytes
         lot_bytes = min(lot_bytes, int(LOT_MEMORY * free_bytes))
         share = int(OPEN_LOT_MEMORY * free_bytes)
         open_lot_bytes = min(open_lot_bytes, share)
+        kernel_bytes = int(PEER_KERNEL_MEMORY * free_bytes)
+        receive_bytes = max(
+            MIN_RECEIVE_BYTES,
+            min(MAX_RECEIVE_BYTES, kernel_bytes // (KERNEL_FACTOR * peers)),
+        )
     return MachineShares(
         _share(machine, most.requests, REQUEST_DESCRIPTORS, REQUEST_MEMORY),
         _share(machine, most.relay, RELAY_DESCRIPTORS, RELAY_MEMORY),
@@ -168,6 +180,7 @@
         open_lot_bytes,
         channels,
         peers,
+        receive_bytes,
     )
 
 
--- a/poplarloft/coordination/clients/tests/test_shares.py
+++ b/poplarloft/coordination/clients/tests/test_shares.py
@@ -33,4 +33,8 @@
     opened = sum(share.max_connections for share in listeners)
     opened += shares.max_channels + shares.max_peers
     assert opened < descriptors
+    kernel_bytes = 2 * shares.max_peers * shares.peer_receive_bytes
+    least_bytes = 2 * shares.max_peers * 32_768
+    free_bytes = machine.free_bytes
+    assert kernel_bytes <= max(least_bytes, 0.1 * free_bytes)
     assert min(share.max_connections for share in listeners) >= 1
--- a/poplarloft/daemon/node.py
+++ b/poplarloft/daemon/node.py
@@ -111,7 +111,10 @@
         self.snapshots = self._make_snapshots()
         self.update_store = coordination.UpdateStore()
         self.sockets = peers.PeerSockets(
-            self._on_peer_bytes, self._curve_keys(), self.shares.max_peers
+            self._on_peer_bytes,
+            self._curve_keys(),
+            self.shares.max_peers,
+            self.shares.peer_receive_bytes,
         )
         self.fleet: fleet.FleetService | None = None
         self.stop_requested = asyncio.Event()
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -74,7 +74,9 @@
             self.issues_permits,
             http_server.share_limits(self.shares.relay),
         )
-        self.peers = peer_link.PeerLink(self.shares.max_peers)
+        self.peers = peer_link.PeerLink(
+            self.shares.max_peers, self.shares.peer_receive_bytes
+        )
         self.limits = upstream_limits.UpstreamLimits(
             settings.name,
             self.peers,
--- a/poplarloft/daemon/serving/fleet/peer_link.py
+++ b/poplarloft/daemon/serving/fleet/peer_link.py
@@ -26,11 +26,19 @@
     ----------
     max_connections : int
         Number of connections of peers that may be open.
+    receive_bytes : int or None
+        Receive buffer of each connection; None for the kernel's own choice.
     """
 
-    def __init__(self, max_connections: int = peers.MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        max_connections: int = peers.MAX_CONNECTIONS,
+        receive_bytes: int | None = None,
+    ) -> None:
         self.sockets = peers.PeerSockets(
-            self._on_message, max_connections=max_connections
+            self._on_message,
+            max_connections=max_connections,
+            receive_bytes=receive_bytes,
         )
         self.handlers: dict[
             type[object], abc.Callable[[typing.Any], None]
--- a/poplarloft/transport/peers.py
+++ b/poplarloft/transport/peers.py
@@ -23,6 +23,9 @@
 RETRANSMIT_TIMEOUT_MS = 3_000
 MAX_MESSAGES_PER_TURN = 100  # then other tasks of the event loop run
 MAX_MESSAGE_BYTES = 2_000_000
+# Of one connection, where the memory of the machine is known; then the
+# connection's sender waits.
+MAX_QUEUED_MESSAGES = 16
 HANDSHAKE_TIMEOUT_MS = 2_000  # then a connection that says nothing ends
 MAX_CONNECTIONS = 2_000
 
@@ -65,6 +68,8 @@
         Keys for CURVE; None for unencrypted sockets.
     max_connections : int
         Number of connections of peers that may be open.
+    receive_bytes : int or None
+        Receive buffer of each connection; None for the kernel's own choice.
     """
 
     def __init__(
@@ -72,7 +77,9 @@
         on_message: abc.Callable[[bytes], None],
         keys: CurveKeys | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        receive_bytes: int | None = None,
     ) -> None:
+        self.receive_bytes = receive_bytes
         self.max_connections = max_connections
         self.connections: peer_connections.PeerConnections | None = None
         self.on_message = on_message
@@ -91,6 +98,9 @@
         receiver.setsockopt(zmq.LINGER, 0)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         receiver.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+        if self.receive_bytes is not None:
+            receiver.setsockopt(zmq.RCVBUF, self.receive_bytes)
+            receiver.setsockopt(zmq.RCVHWM, MAX_QUEUED_MESSAGES)
         self._enable_curve(receiver)
         endpoint = f"tcp://{address.host}:{address.port or '*'}"
         receiver.bind(endpoint)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -120,6 +120,20 @@
     return b"1\r\nx\r\n"
 
 
+def peer_handshake():
+    """Return what a ZeroMQ socket sends before its first message."""
+    signature = b"\xff" + bytes(8) + b"\x7f"
+    greeting = signature + b"\x03\x00" + b"NULL".ljust(20, b"\x00")
+    ready = b"\x05READY\x0bSocket-Type\x00\x00\x00\x04PUSH"
+    return greeting.ljust(64, b"\x00") + bytes((4, len(ready))) + ready
+
+
+def messages(size):
+    """Return a function for a message of `size` bytes that none expects."""
+    message = b"\x02" + size.to_bytes(8, "big") + bytes(size)
+    return lambda connection: message
+
+
 def nothing(connection):
     return b""
 
@@ -162,6 +176,9 @@
     ),
     "ahead-metrics": Form(16, 24 * MIB, ahead("/metrics"), listener="metrics"),
     "burst-peers": Form(2_000, 0, nothing, listener="peers"),
+    "loud-peers": Form(
+        12, 900 * MIB, messages(1_900_000), peer_handshake(), listener="peers"
+    ),
     "silent-peers": Form(200, 0, nothing, listener="peers"),
 }
 
