Remember whole prefixes of result logs only

Cause: LotService moved the revision from which a watch starts on with each page of a listing. A second reader watched from there while pages before it were still unread, and the log's last key moved past them for good. A page that failed, and a reader that left between two pages, left the same behind.

Ruled out: that the leader wrote other results (the trainer, at another daemon, read all 200), and that the watch missed changes.

Now an entry is appended only if its number is the next one; one that isn't has the log read again (lot-log-gap). A watch starts from the revision of a listing's first page, and only once the last page is in. A listing or watch belongs to the lot: whoever comes shares it, and it goes on when the request that began it is gone. A reader gets what is at its position as soon as that page is in.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -35,10 +35,12 @@
 from poplarloft.coordination.serving.rollouts import EngineId
 from poplarloft.coordination.serving.rollouts import EngineView
 from poplarloft.coordination.serving.rollouts import EventOrderError
+from poplarloft.coordination.serving.rollouts import Follows
 from poplarloft.coordination.serving.rollouts import held_bytes
 from poplarloft.coordination.serving.rollouts import INITIAL_EVENT_INTERVAL_MS
 from poplarloft.coordination.serving.rollouts import ItemOutput
 from poplarloft.coordination.serving.rollouts import LoadVersion
+from poplarloft.coordination.serving.rollouts import LogPosition
 from poplarloft.coordination.serving.rollouts import LotBacklog
 from poplarloft.coordination.serving.rollouts import LotPlan
 from poplarloft.coordination.serving.rollouts import OutputTooLargeError
@@ -75,6 +77,7 @@
     "EventOrderError",
     "FailoverDetector",
     "FeedReader",
+    "Follows",
     "INITIAL_EVENT_INTERVAL_MS",
     "ItemOutput",
     "FullUpstreams",
@@ -83,6 +86,7 @@
     "LeastExpectedTime",
     "LimitTable",
     "LoadVersion",
+    "LogPosition",
     "LostRuns",
     "LotBacklog",
     "LotPlan",
--- a/poplarloft/coordination/serving/rollouts/__init__.py
+++ b/poplarloft/coordination/serving/rollouts/__init__.py
@@ -12,6 +12,8 @@
 from poplarloft.coordination.serving.rollouts.engine_view import (
     INITIAL_EVENT_INTERVAL_MS,
 )
+from poplarloft.coordination.serving.rollouts.log_position import Follows
+from poplarloft.coordination.serving.rollouts.log_position import LogPosition
 from poplarloft.coordination.serving.rollouts.lot_backlog import (
     DEFAULT_LOT_BYTES,
 )
@@ -44,9 +46,11 @@
     "EngineId",
     "EngineView",
     "EventOrderError",
+    "Follows",
     "INITIAL_EVENT_INTERVAL_MS",
     "ItemOutput",
     "LoadVersion",
+    "LogPosition",
     "LotPlan",
     "OutputTooLargeError",
     "Planner",
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -234,6 +234,7 @@
         self.usage.tell()
         await self.readiness_server.drain(0)
         await self.relay.stop()
+        await self.lot_service.stop()
         await self.task_set.cancel_all()
         self.peers.close()
         self.close_clients()
--- a/poplarloft/daemon/serving/rollouts/lot_cache.py
+++ b/poplarloft/daemon/serving/rollouts/lot_cache.py
@@ -15,12 +15,17 @@
 
 @dataclasses.dataclass(slots=True)
 class CachedLot:
-    """The part of a lot that this instance has read."""
+    """The part of a lot that this instance has read.
+
+    The results are a whole prefix of those in the log.
+    """
 
     head: state.LotHead | None = None
     results: list[state.LotResult] = dataclasses.field(default_factory=list)
     last_key: str = ""
-    revision: int = 0
+    log: serving.LogPosition = dataclasses.field(
+        default_factory=serving.LogPosition
+    )
     record: state.LotRecord | None = None
     used_at_ms: int = 0
     held_bytes: int = LOT_OVERHEAD_BYTES
@@ -30,19 +35,39 @@
         """Whether the results of all items have been read."""
         return self.head is not None and (len(self.results) >= self.head.total)
 
-    def add_entries(self, entries: abc.Iterable[state.Entry]) -> None:
-        """Append entries that follow those already read."""
+    def add_entries(self, entries: abc.Iterable[state.Entry]) -> bool:
+        """Append entries of the log, in order.
+
+        Returns
+        -------
+        bool
+            Whether all have been read now; not if one before them is
+            missing.
+
+        Raises
+        ------
+        FieldError
+            If an entry cannot be decoded.
+        """
         for entry in entries:
-            if entry.key <= self.last_key:
-                continue
-            if self.head is None:
-                self.head = lot_records.decode_head(entry.value)
-            else:
-                results = lot_records.decode_batch(entry.value)
-                self.results += results
-                self.held_bytes += len(entry.value)
-                self.held_bytes += RESULT_OVERHEAD_BYTES * len(results)
-            self.last_key = entry.key
+            number = lot_records.parse_log_key(entry.key)
+            match self.log.place(number):
+                case serving.Follows.NEXT:
+                    self._append(entry)
+                case serving.Follows.GAP:
+                    return False
+        return True
+
+    def _append(self, entry: state.Entry) -> None:
+        if self.head is None:
+            self.head = lot_records.decode_head(entry.value)
+        else:
+            results = lot_records.decode_batch(entry.value)
+            self.results += results
+            self.held_bytes += len(entry.value)
+            self.held_bytes += RESULT_OVERHEAD_BYTES * len(results)
+        self.last_key = entry.key
+        self.log.advance()
 
     def set_record(self, record: state.LotRecord) -> None:
         """Set the record of the lot."""
--- a/poplarloft/daemon/serving/rollouts/lot_service.py
+++ b/poplarloft/daemon/serving/rollouts/lot_service.py
@@ -3,12 +3,15 @@
 import asyncio
 from collections import abc
 import dataclasses
+import weakref
 
 import eliot
 from returns import result
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving.rollouts import log_reader
 from poplarloft.daemon.serving.rollouts import lot_cache
+from poplarloft.daemon import tasks
 from poplarloft.platform import ingress
 from poplarloft.protocol import errors
 from poplarloft.protocol import lot_records
@@ -20,7 +23,6 @@
 END_TIMEOUT_MS = 3_000
 WRITE_RETRY_MS = 100
 RETRY_AFTER_MS = 200
-MAX_WAIT_MS = 1_000
 MAX_PAGE_BYTES = 900_000
 RESULT_OVERHEAD_BYTES = 400
 MS_PER_S = 1_000
@@ -59,6 +61,15 @@
         self.store = store
         self.notify_leader = notify_leader
         self.cache = lot_cache.LotCache(clock, retention_ms, max_bytes)
+        self.task_set = tasks.TaskSet()
+        # Each lives as long as somebody waits for it or it reads.
+        self.readers: weakref.WeakValueDictionary[
+            str, log_reader.LogReader
+        ] = weakref.WeakValueDictionary()
+
+    async def stop(self) -> None:
+        """End the readings that are under way."""
+        await self.task_set.cancel_all()
 
     async def accept(self, lot: state.Lot) -> state.Refusal | None:
         """Store a lot; return None once the store has acknowledged it."""
@@ -107,8 +118,8 @@
         """
         cached = self.cache.use(call.lot_id)
         if not cached.is_complete and len(cached.results) <= call.position:
-            wait_ms = min(call.wait_ms, MAX_WAIT_MS)
-            failure = await self._refresh(call.lot_id, cached, wait_ms)
+            reader = self._reader(call.lot_id, cached)
+            failure = await reader.await_result(call.position, call.wait_ms)
             if failure is not None:
                 if cached.head is None:
                     self.cache.drop(call.lot_id)
@@ -117,7 +128,8 @@
                     request=call.lot_id,
                     position=call.position,
                     held=len(cached.results),
-                    revision=cached.revision,
+                    revision=cached.log.revision,
+                    next_number=cached.log.next_number,
                     detail=failure.detail,
                 )
                 return _refused_page(
@@ -244,35 +256,17 @@
                 return dataclasses.replace(answer, status=Status.UNKNOWN)
             await asyncio.sleep(WRITE_RETRY_MS / MS_PER_S)
 
-    async def _refresh(
-        self, lot_id: str, cached: lot_cache.CachedLot, wait_ms: int
-    ) -> state.StoreFailure | None:
-        """Read new entries; wait up to `wait_ms` for one."""
-        prefix = lot_records.batches_prefix(lot_id)
-        if wait_ms and cached.revision:
-            answer = await self.store.watch(prefix, cached.revision, wait_ms)
-            match answer:
-                case result.Success(state.Changes() as found):
-                    cached.add_entries(
-                        c.entry for c in found.changes if c.entry
-                    )
-                    cached.revision = found.seen_revision(cached.revision)
-                    return None
-        return await self._read_new_entries(prefix, cached)
-
-    async def _read_new_entries(
-        self, prefix: str, cached: lot_cache.CachedLot
-    ) -> state.StoreFailure | None:
-        while True:
-            page = await self.store.list_page(prefix, cached.last_key)
-            match page:
-                case result.Success(state.Page() as found):
-                    cached.add_entries(found.entries)
-                    cached.revision = max(cached.revision, found.revision)
-                    if not found.has_more:
-                        return None
-                case result.Failure(failure):
-                    return failure
+    def _reader(
+        self, lot_id: str, cached: lot_cache.CachedLot
+    ) -> log_reader.LogReader:
+        """Return what reads a lot's log for all who wait for it."""
+        reader = self.readers.get(lot_id)
+        if reader is None or reader.lot is not cached:
+            reader = log_reader.LogReader(
+                self.store, self.task_set, lot_id, cached
+            )
+            self.readers[lot_id] = reader
+        return reader
 
     async def _record(
         self, lot_id: str
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -37,6 +37,7 @@
     "member_key",
     "parse_crash_key",
     "parse_ended_key",
+    "parse_log_key",
     "parse_lot_key",
 ]
 
@@ -141,6 +142,20 @@
     return f"{batches_prefix(lot_id)}{number + 1:06d}"
 
 
+def parse_log_key(key: str) -> int:
+    """Return the number of an entry of a lot's log; 0 is its head.
+
+    Raises
+    ------
+    FieldError
+        If it is not a key of a log.
+    """
+    digits = key.rpartition("/")[2]
+    if not digits.isdecimal():
+        raise errors.FieldError("log key", f"no number in {key[:80]!r}")
+    return int(digits)
+
+
 def head_key(lot_id: str) -> str:
     """Return the key of a lot's head.
 
--- a/standins/revision_store.py
+++ b/standins/revision_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import dataclasses
 import typing
 from urllib import parse
@@ -16,6 +17,7 @@
 
 MS_PER_S = 1_000
 PAGE_ENTRIES = 50
+PAGE_BYTES = 1_000_000
 MAX_ENCODED_BYTES = 1_398_104  # 1 MiB in Base64
 
 
@@ -41,8 +43,12 @@
     late_writes : int
         Number of next writes that get no response and are applied after
         `late_ms`, if their conditions hold then.
+    calls_by_kind : collections.Counter
+        Number of calls by the last part of their path.
     too_large : int
         Number of writes that were refused as a value was over 1 MiB.
+    delay_ms : int
+        Time that each call takes.
     refusing_address : state.Address
         A second address, which answers each call with status 503.
     """
@@ -60,7 +66,9 @@
         self.lost_writes = 0
         self.late_writes = 0
         self.late_ms = 300
+        self.delay_ms = 0
         self.calls = 0
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self.too_large = 0
         self.server = self._make_server(self._handle)
         self.refusing_server = self._make_server(self._refuse)
@@ -107,9 +115,11 @@
         self.calls += 1
         if self.is_down:
             return http.HttpResponse(503)
+        await asyncio.sleep(self.delay_ms / MS_PER_S)
         name = request.path.removeprefix("/poplarloft/")
         query = dict(parse.parse_qsl(request.query))
         call, _, rest = name.partition("/")
+        self.calls_by_kind[call] += 1
         match call:
             case "kv-key":
                 return self._get(query["key"])
@@ -141,7 +151,7 @@
             for key in self.entries
             if key.startswith(prefix) and key > after
         )
-        page = keys[:PAGE_ENTRIES]
+        page = self._page(keys)
         return _json(
             {
                 "items": [_row(key, self.entries[key]) for key in page],
@@ -150,6 +160,17 @@
             }
         )
 
+    def _page(self, keys: list[str]) -> list[str]:
+        """Return the keys of the first page, at least one."""
+        page: list[str] = []
+        page_bytes = 0
+        for key in keys[:PAGE_ENTRIES]:
+            page_bytes += len(self.entries[key].value)
+            if page and page_bytes > PAGE_BYTES:
+                break
+            page.append(key)
+        return page
+
     async def _watch(self, query: dict[str, str]) -> http.HttpResponse:
         prefix, after = query["prefix"], int(query["after"])
         try:
--- a/tests/serving_fleet.py
+++ b/tests/serving_fleet.py
@@ -195,6 +195,7 @@
         if isinstance(daemon, entry.EntryDaemon):
             await daemon.request_server.drain(0)
             await daemon.readiness_server.drain(0)
+            await daemon.lot_service.stop()
         await daemon.task_set.cancel_all()
         scheduler = getattr(
             getattr(daemon, "election", None), "scheduler", None
@@ -243,12 +244,12 @@
         status, _, _ = await self.call("POST", "/l/x", body, headers, daemon)
         return status
 
-    async def read(self, lot_id, after=0, daemon=None):
+    async def read(self, lot_id, after=0, daemon=None, wait_ms=300):
         """Return the status and, if 200, one page of a lot's results."""
         status, _, body = await self.call(
             "GET",
             f"/poplarloft/lots/{lot_id}?after={after}",
-            headers=(("x-wait-ms", "300"),),
+            headers=(("x-wait-ms", str(wait_ms)),),
             daemon=daemon,
         )
         return status, json.loads(body) if status == 200 else None
