Read a log again before writing behind a gap

Now a batch is applied only if its number is the next one; a later one has the log read again before anything is written (lot-log-gap).

Not seen on a deployment.

--- a/poplarloft/coordination/serving/rollouts/result_log.py
+++ b/poplarloft/coordination/serving/rollouts/result_log.py
@@ -73,13 +73,26 @@
         if result.item_id not in self.recorded:
             self.pending.setdefault(result.item_id, result)
 
-    def apply_batch(self, results: abc.Iterable[state.LotResult]) -> None:
-        """Append the next batch as it is in the store."""
+    def apply_batch(
+        self, number: int, results: abc.Iterable[state.LotResult]
+    ) -> bool:
+        """Append a batch of the store if it is the next one.
+
+        Results behind a batch that is missing have no position yet.
+
+        Returns
+        -------
+        bool
+            Whether all batches up to this one are known now.
+        """
+        if number != self.next_batch:
+            return number < self.next_batch
         for result in results:
             self.recorded.setdefault(result.item_id, result)
             self.pending.pop(result.item_id, None)
         self.next_batch += 1
         self.phase = _Phase.IDLE
+        return True
 
     def next_action(self) -> WriteBatch | ReadBatch | None:
         """Return the next action, None if there is none or one is running."""
@@ -110,7 +123,7 @@
         """
         match status:
             case state.WriteStatus.APPLIED:
-                self.apply_batch(self.in_flight)
+                self.apply_batch(self.next_batch, self.in_flight)
             case state.WriteStatus.NOT_DONE:
                 self.phase = _Phase.IDLE
             case _:
--- a/poplarloft/coordination/serving/rollouts/tests/test_result_log.py
+++ b/poplarloft/coordination/serving/rollouts/tests/test_result_log.py
@@ -51,7 +51,7 @@
                 log.on_write(store.create(number, results))
         case serving.ReadBatch(number):
             if number in store.batches:
-                log.apply_batch(store.batches[number])
+                log.apply_batch(number, store.batches[number])
             else:
                 log.on_absent()
 
--- a/poplarloft/daemon/serving/rollouts/result_writer.py
+++ b/poplarloft/daemon/serving/rollouts/result_writer.py
@@ -78,17 +78,31 @@
             page = await self.store.list_page(prefix, after)
             match page:
                 case result.Success(state.Page() as found):
-                    for entry in found.entries:
-                        self.log.apply_batch(
-                            lot_records.decode_batch(entry.value)
-                        )
-                    if not found.has_more:
+                    is_whole = self._apply(found.entries)
+                    if is_whole and not found.has_more:
                         self.is_read = True
                         self.on_recorded(self.lot.id)
                         self._flush()
                         return
-                case _:
-                    await asyncio.sleep(RETRY_MS / MS_PER_S)
+                    if is_whole:
+                        continue
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+
+    def _apply(self, entries: abc.Iterable[state.Entry]) -> bool:
+        """Apply batches of a page; return whether none before is missing."""
+        for entry in entries:
+            number = lot_records.parse_batch_key(entry.key)
+            results = lot_records.decode_batch(entry.value)
+            if not self.log.apply_batch(number, results):
+                eliot.log_message(
+                    "lot-log-gap",
+                    request=self.lot.id,
+                    next_number=self.log.next_batch + 1,
+                    held=len(self.log.recorded),
+                    detail=f"batch {number} came first",
+                )
+                return False
+        return True
 
     def add(self, finished: state.LotResult, write_now: bool) -> None:
         """Add a result; write it now if `write_now`, else with later ones.
@@ -154,7 +168,7 @@
         )
         match found:
             case result.Success(state.Entry(value=value)):
-                self.log.apply_batch(lot_records.decode_batch(value))
+                self.log.apply_batch(number, lot_records.decode_batch(value))
                 self.on_recorded(self.lot.id)
             case result.Success(None):
                 self.log.on_absent()
--- a/poplarloft/protocol/lot_records.py
+++ b/poplarloft/protocol/lot_records.py
@@ -35,6 +35,7 @@
     "head_key",
     "lot_key",
     "member_key",
+    "parse_batch_key",
     "parse_crash_key",
     "parse_ended_key",
     "parse_log_key",
@@ -156,6 +157,11 @@
     return int(digits)
 
 
+def parse_batch_key(key: str) -> int:
+    """Return the number of a batch of results; raises `FieldError`."""
+    return parse_log_key(key) - 1
+
+
 def head_key(lot_id: str) -> str:
     """Return the key of a lot's head.
 
