Refuse pages from which a listing can't go on

Members, upstreams, lots, streams and news of crashes would have been listed in part, as if whole; checkpoints asked for the same page without end. A page that begins at or before the key asked for would repeat itself.

Now the store's client refuses both, in one place for all listings, so that each of them fails as it does when the store doesn't answer.

Not seen on a deployment.

--- a/poplarloft/daemon/serving/store/prefix_watcher.py
+++ b/poplarloft/daemon/serving/store/prefix_watcher.py
@@ -108,7 +108,7 @@
                 case result.Success(state.Page() as found):
                     entries += map(self.seal, found.entries)
                     revision = revision or found.revision
-                    if found.has_more and found.entries:
+                    if found.has_more:
                         after = found.entries[-1].key
                         continue
                 case result.Failure(failure):
--- a/poplarloft/daemon/serving/streams/stream_log.py
+++ b/poplarloft/daemon/serving/streams/stream_log.py
@@ -163,7 +163,7 @@
                     for entry in listing.entries:
                         count += self._restore(entry)
                         after = entry.key
-                    if listing.has_more and listing.entries:
+                    if listing.has_more:
                         continue
                 case result.Failure(failure):
                     eliot.log_message(
--- a/poplarloft/platform/store.py
+++ b/poplarloft/platform/store.py
@@ -133,12 +133,8 @@
             query["after"] = after_key
         target = _target(names.STORE_RANGE_PATH, **query)
         reply = await self._call("GET", target, self.timeout_ms)
-        return _decode(reply, _Range).map(
-            lambda page: state.Page(
-                tuple(_entry(row) for row in page.items),
-                page.has_more,
-                page.current_rev,
-            )
+        return _decode(reply, _Range).bind(
+            lambda page: _page(page, prefix, after_key)
         )
 
     async def watch(
@@ -275,6 +271,24 @@
     raise AssertionError(reply)
 
 
+def _page(page: _Range, prefix: str, after_key: str) -> Outcome[state.Page]:
+    """Return a page, unless a listing could not go on from it."""
+    if page.has_more and not page.items:
+        return _failure(
+            FailureKind.REJECTED,
+            f"a page of {prefix!r} after {after_key!r} has no entries, but "
+            "says that there are more",
+        )
+    if page.items and page.items[0].key <= after_key:
+        return _failure(
+            FailureKind.REJECTED,
+            f"a page of {prefix!r} after {after_key!r} begins with "
+            f"{page.items[0].key!r}",
+        )
+    entries = tuple(_entry(row) for row in page.items)
+    return result.Success(state.Page(entries, page.has_more, page.current_rev))
+
+
 def _entry(row: _Row) -> state.Entry:
     return state.Entry(
         row.key,
@@ -370,7 +384,7 @@
         match page:
             case result.Success(state.Page() as found):
                 entries += found.entries
-                has_more = found.has_more and bool(found.entries)
+                has_more = found.has_more
             case result.Failure(failure):
                 return result.Failure(failure)
     return result.Success(entries)
--- a/poplarloft/state/revisions.py
+++ b/poplarloft/state/revisions.py
@@ -52,7 +52,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """One page of a listing, as of the store's `revision`."""
+    """One page of a listing, as of the store's `revision`.
+
+    If `has_more`, there is an entry after which the next page begins.
+    Pages are no snapshot: what changed between two of them may be on
+    either, on both or on none.
+    """
 
     entries: tuple[Entry, ...]
     has_more: bool
