Pass over changes older than what was listed

Now a change that is no newer than the known entry is kept for peers whose listing doesn't have it, but not applied.

Not seen on a deployment.

--- a/poplarloft/coordination/serving/store/prefix_history.py
+++ b/poplarloft/coordination/serving/store/prefix_history.py
@@ -61,18 +61,33 @@
     def apply_changes(
         self, changes: abc.Iterable[state.Change], revision: int
     ) -> list[state.Change]:
-        """Apply all changes up to `revision`; return those that were new."""
-        new_changes = [c for c in changes if c.revision > self.revision]
-        for change in new_changes:
-            if len(self.recent) == RECENT_CHANGES:
-                self.recent_since = self.recent[0].revision
-            self.recent.append(change)
+        """Apply all changes up to `revision`; return those that were new.
+
+        A listing of several pages may hold entries that are newer than its
+        revision. Changes that led to them come once more and are passed
+        over, as they would restore an older state.
+        """
+        applied = []
+        for change in changes:
+            if change.revision <= self.revision:
+                continue
+            self._remember(change)
+            known = self.entries.get(change.key)
+            if known is not None and known.revision >= change.revision:
+                continue
+            applied.append(change)
             if change.entry is None:
                 self.entries.pop(change.key, None)
             else:
                 self.entries[change.key] = change.entry
         self.revision = max(self.revision, revision)
-        return new_changes
+        return applied
+
+    def _remember(self, change: state.Change) -> None:
+        """Keep a change for those whose listing does not have it."""
+        if len(self.recent) == RECENT_CHANGES:
+            self.recent_since = self.recent[0].revision
+        self.recent.append(change)
 
     def confirm(self, at_ms: int) -> None:
         """Record a time at which the store had no further changes."""
