--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
     "admission",
     "claims",
     "idle",
+    "log_reading",
     "membership",
     "mutants",
     "poison",
