Check where watches of a log begin, add mutants

The model of reading a log seldom had a reader at its end, so that few plays watched: an entry appended behind a gap passed it. Readers now come near the end as well, and a watch that begins before all up to its revision has been read fails. Both new mutants of LogPosition, and the one of PrefixHistory, fail their tests (one play each); the mutant of earlier revisions follows the code.

--- a/benchmarks/serving_mutants.py
+++ b/benchmarks/serving_mutants.py
@@ -53,10 +53,31 @@
     mutant.Mutant(
         "changes of earlier revisions applied again",
         f"{DECISIONS}/store/prefix_history.py",
-        "if c.revision > self.revision]",
-        "if c.revision]",
+        "if change.revision <= self.revision:",
+        "if False:",
         f"{DECISIONS}/store/tests/test_feeds.py",
     ),
+    mutant.Mutant(
+        "changes older than a listed entry applied over it",
+        f"{DECISIONS}/store/prefix_history.py",
+        "if known is not None and known.revision >= change.revision:",
+        "if False:",
+        f"{DECISIONS}/store/tests/test_prefix_history.py",
+    ),
+    mutant.Mutant(
+        "a watch before the last page of a listing has come",
+        f"{DECISIONS}/rollouts/log_position.py",
+        "if not has_more:",
+        "if True:",
+        f"{DRIVERS}/rollouts/tests/test_lot_reading.py",
+    ),
+    mutant.Mutant(
+        "an entry appended behind a gap",
+        f"{DECISIONS}/rollouts/log_position.py",
+        "if number == self.next_number:",
+        "if number >= self.next_number:",
+        f"{DRIVERS}/rollouts/tests/test_lot_reading.py",
+    ),
     mutant.Mutant(
         "changes sent as complete although some are missing",
         f"{DECISIONS}/store/prefix_history.py",
--- a/poplarloft/daemon/serving/rollouts/tests/test_lot_reading.py
+++ b/poplarloft/daemon/serving/rollouts/tests/test_lot_reading.py
@@ -151,10 +151,11 @@
         self.store.oldest = self.store.revision
 
     @stateful.rule(
-        position=st.integers(0, 6), wait_ms=st.sampled_from([0, WAIT_MS])
+        back=st.sampled_from([0, 0, 1, 3, 100]),
+        wait_ms=st.sampled_from([0, WAIT_MS]),
     )
-    def start_reader(self, position, wait_ms):
-        position = min(position, len(self.written))
+    def start_reader(self, back, wait_ms):
+        position = max(0, len(self.written) - back)
         self.readers.append((position, self._read(position, wait_ms)))
         self._run()
 
@@ -204,6 +205,18 @@
             held = [row.item_id for row in lot.results]
             assert held == self.written[: len(held)]
 
+    @stateful.invariant()
+    def watches_from_a_revision_up_to_which_all_is_read(self):
+        lot = self.service.cache.find(LOT)
+        watched = [c.revision for c in self.store.calls if c.kind == "watch"]
+        if lot is not None and watched:
+            written = sum(
+                len(lot_records.decode_batch(entry.value))
+                for entry in self.store.entries[1:]
+                if entry.revision <= max(watched)
+            )
+            assert len(lot.results) >= written
+
     @stateful.invariant()
     def readers_get_what_is_at_their_position(self):
         for position, reader in list(self.readers):
