Take instances that are gone off the members' list

Cause: a daemon wrote members/NAME as it started, without a lease, and nobody removed it. Issuers of permits and keepers of streams are chosen by rendezvous among all members that ever were: 27 of 30 were gone.

Now the entry hangs on a lease of 15 s that the daemon renews every 4.5 s. It leaves by its own word as a stop begins (only its own entry: a late delete spares the next run's), and with the confirmation of its retirement. A member that a listing lacks is looked for once more after 3 s, in a listing that is not old, before it is dropped, so that an outage in which leases end drops nobody; whoever has just answered stays. One that lapsed registers anew within a second of the store's return. Streams are told to one keeper more with each attempt, six at most.

Death to dropped: lease 15 s, listing 20 s, second look 3 s.

Cost, worked out: a daemon has one renewal each 4.5 s (a tenth of a read each) and three calls more as it starts. At 420 daemons 93 renewals a second, the price of 9.3 reads of the store's 2,000.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -1,7 +1,7 @@
 """Decisions for serving behind a platform's load balancer and store.
 
-Covers single requests, lots of samples, weight loading, leader failover
-and change feeds. Nothing here does input or output.
+Covers single requests, lots of samples, weight loading, leader failover,
+membership and change feeds. Nothing here does input or output.
 """
 
 from poplarloft.coordination.serving.leadership import FailoverDetector
@@ -12,6 +12,10 @@
 from poplarloft.coordination.serving.leadership import ReadHolder
 from poplarloft.coordination.serving.leadership import RevokeLease
 from poplarloft.coordination.serving.leadership import WriteHolder
+from poplarloft.coordination.serving.membership import MEMBER_LEASE_MS
+from poplarloft.coordination.serving.membership import Roster
+from poplarloft.coordination.serving.membership import settling_time_ms
+from poplarloft.coordination.serving.membership import Tenure
 from poplarloft.coordination.serving.requests import allowed_services
 from poplarloft.coordination.serving.requests import Balancer
 from poplarloft.coordination.serving.requests import FullUpstreams
@@ -91,6 +95,7 @@
     "LotBacklog",
     "LotPlan",
     "MAX_GAP_MS",
+    "MEMBER_LEASE_MS",
     "OrderLock",
     "OrderRules",
     "OutputTooLargeError",
@@ -104,6 +109,7 @@
     "ReadHolder",
     "ResultLog",
     "RevokeLease",
+    "Roster",
     "RunVerdict",
     "STREAM_LIFETIME_MS",
     "SamplerRegistry",
@@ -111,6 +117,7 @@
     "StartItem",
     "StreamReports",
     "StreamTable",
+    "Tenure",
     "VerdictKind",
     "VersionHistory",
     "WeightLoadPlanner",
@@ -122,6 +129,7 @@
     "rank_issuers",
     "rank_services",
     "rank_witnesses",
+    "settling_time_ms",
     "split_increments",
     "spread_point",
 ]
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -6,6 +6,7 @@
 from poplarloft.coordination import serving
 from poplarloft.daemon import machine
 from poplarloft.daemon.serving.fleet import leaving_link
+from poplarloft.daemon.serving.fleet import member_registry
 from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft.daemon.serving.fleet import response_notes
 from poplarloft.daemon.serving.fleet import upstream_limits
@@ -70,29 +71,32 @@
         self.relay = store_relay.CallRelay(
             self.client,
             self.store,
-            settings.name,
-            self.issues_permits,
             http_server.share_limits(self.shares.relay),
         )
         self.peers = peer_link.PeerLink(
             self.shares.max_peers, self.shares.peer_receive_bytes
         )
+        self.membership = member_registry.MemberRegistry(
+            self.store, settings.name, self.wall_clock
+        )
+        self.membership.listeners.append(self._on_members)
+        self.store.on_reached = self.membership.on_reached
         self.limits = upstream_limits.UpstreamLimits(
             settings.name,
             self.peers,
-            lambda: self.relay.members,
+            lambda: self.membership.members,
             None not in (settings.relay_listen, settings.peer_listen),
         )
         self.streams = stream_link.StreamLink(
             settings.name,
             self.peers,
-            lambda: self.relay.members,
+            lambda: self.membership.members,
             self.store,
         )
         self.origins = stream_origins.OriginFinder(
-            self.streams, self.relay.list_peers_once
+            self.streams, self.membership.list_once
         )
-        self.relay.listeners.append(self.streams.on_listed)
+        self.membership.listeners.append(self.streams.on_listed)
         self.regions = settings.region_by_data_centre()
 
     def apply(self, settings: serving_settings.ServingSettings) -> list[str]:
@@ -119,7 +123,7 @@
         leaving = leaving_link.LeavingLink(
             self.settings.name,
             self.peers,
-            lambda: self.relay.members,
+            lambda: self.membership.members,
             sampler_view,
         )
         notes = response_notes.ResponseNotes(self.limits, leaving)
@@ -138,14 +142,36 @@
         self.upstream_client.close()
 
     async def start_relay(self) -> None:
-        """Start relaying store calls of peers if `relay_listen` is set."""
-        if self.settings.peer_listen is not None:
-            self.relay.peers_address = self.peers.address
-        if self.settings.relay_listen is not None:
-            await self.relay.start(
-                addresses.parse_address(self.settings.relay_listen),
-                self.task_set,
-            )
+        """Join the members if `relay_listen` is set."""
+        listen = self.settings.relay_listen
+        if listen is not None:
+            await self.join_members(addresses.parse_address(listen))
+
+    async def join_members(self, listen: state.Address) -> None:
+        """Start relaying store calls of peers, and be listed among them."""
+        has_peers = self.settings.peer_listen is not None
+        record = state.PeerRecord(
+            await self.relay.start(listen),
+            self._feed_address(),
+            self.peers.address if has_peers else None,
+            self.issues_permits,
+        )
+        self.membership.start(record, self.task_set)
+
+    def _feed_address(self) -> state.Address | None:
+        """Return where peers get changes of the store from this daemon."""
+        return None
+
+    def _on_members(self) -> None:
+        """Use the addresses of the members that were listed."""
+        members = self.membership.members
+        self.store.update_peers(
+            {
+                name: member.relay
+                for name, member in members.items()
+                if name != self.settings.name
+            }
+        )
 
     def make_balancer(self) -> serving.LeastExpectedTime:
         """Return a balancer that accounts for network round trips."""
--- a/poplarloft/daemon/serving/bulk.py
+++ b/poplarloft/daemon/serving/bulk.py
@@ -21,6 +21,7 @@
 from poplarloft.platform import names
 from poplarloft.protocol import addresses
 from poplarloft.protocol import errors
+from poplarloft.protocol import lot_records
 from poplarloft.protocol import serving_settings
 from poplarloft import state
 
@@ -53,7 +54,7 @@
             settings.region,
             serving.FailoverDetector(self.clock, settings.name),
             self.peers,
-            lambda: self.relay.members,
+            lambda: self.membership.members,
         )
         self.feed = feed_link.FeedLink(
             self.clock, settings.name, MAX_CHANGE_DELAY_MS, self.peers
@@ -80,6 +81,9 @@
         self.reporter: usage_reporter.UsageReporter | None = None
         self.peers.on(state.UsageNotice, self._on_usage)
         self.confirmed_retirements: set[str] = set()
+        self.membership.is_retiring = lambda: (
+            settings.name in self.views.operator.retiring
+        )
 
     async def start(self) -> None:
         """Start following the store and take part in the leader election."""
@@ -110,12 +114,14 @@
         self.task_set.supervise(self.election.run)
 
     async def stop(self) -> None:
-        """Resign leadership and shut down."""
+        """Leave the list of members, resign leadership and shut down."""
+        leaving = self.task_set.spawn(self.membership.leave())
         if self.election is not None:
             scheduler = self.election.scheduler
             if scheduler is not None:
                 await scheduler.stop()
             await self.election.resign()
+        await asyncio.wait({leaving})
         await self.task_set.cancel_all()
         await self.relay.stop()
         self.peers.close()
@@ -194,10 +200,10 @@
 
     async def _recall_streams(self) -> None:
         """Ask for the streams that this daemon kept before it started."""
-        members = await self.relay.read_members()
+        members = await self.membership.read()
         while members is None:
             await asyncio.sleep(RECALL_RETRY_MS / MS_PER_S)
-            members = await self.relay.read_members()
+            members = await self.membership.read()
         self.streams.recall(members)
 
     async def _announce_leader(self) -> None:
@@ -212,7 +218,7 @@
                     self.peers.address,
                     self.views.lots.backlog.is_full,
                 )
-                for member in self.relay.members.values():
+                for member in self.membership.members.values():
                     if member.feed is not None:
                         self.peers.send(member.feed, message)
             await asyncio.sleep(ANNOUNCE_INTERVAL_MS / MS_PER_S)
@@ -252,14 +258,25 @@
             self.task_set.spawn(self._confirm_retirement(name))
 
     async def _confirm_retirement(self, name: str) -> None:
-        """Write to the store that an instance holds no data to preserve."""
+        """Write to the store that an instance holds no data to preserve.
+
+        It is taken away then, so the first confirmation takes it off the
+        list of members as well.
+        """
         key = names.RETIRE_STATUS_PREFIX + name
-        put = state.Put(key, documents.encode_retirement(True))
+        puts = [state.Put(key, documents.encode_retirement(True))]
+        expected = [state.Expectation(key)]
+        deletes = [lot_records.member_key(name)]
         while True:
-            answer = await self.store.write([], [put])
+            answer = await self.store.write(expected, puts, deletes)
             eliot.log_message(
                 "instance-emptied", instance=name, outcome=answer.status.value
             )
             if answer.status is state.WriteStatus.APPLIED:
                 return
+            if answer.status is state.WriteStatus.CONFLICT:
+                # It was confirmed before; a machine that has come under
+                # the same name since stays listed.
+                expected, deletes = [], []
+                continue
             await asyncio.sleep(1)
--- a/poplarloft/daemon/serving/entry.py
+++ b/poplarloft/daemon/serving/entry.py
@@ -145,7 +145,7 @@
         )
         self.samplers.listeners.append(self.guard.on_announcements)
         self.origins.follow(self.samplers)
-        self.relay.listeners.append(self.guard.news.on_peers)
+        self.membership.listeners.append(self.guard.news.on_peers)
 
     def _make_guard(
         self, client: samplers.SamplerClient
@@ -162,7 +162,7 @@
             guard,
             self.store,
             self.peers,
-            lambda: self.relay.members,
+            lambda: self.membership.members,
         )
         return crash_guard.CrashGuard(
             self.clock,
@@ -211,7 +211,14 @@
         )
         self.feed.start(self.task_set)
         self.peers.on(state.LeaderAnnouncement, self.leader_location.on_leader)
-        self.relay.feed = self.feed
+
+    def _feed_address(self) -> state.Address | None:
+        return None if self.feed is None else self.feed.reader.address
+
+    def _on_members(self) -> None:
+        if self.feed is not None:
+            self.feed.update_members(self.membership.members)
+        super()._on_members()
 
     def notify_leader(self, message: state.ServingMessage) -> None:
         """Send a hint to the leader if its address is known."""
@@ -222,6 +229,7 @@
     async def stop(self) -> None:
         """Drain requests in flight within `grace_s`, then shut down."""
         self.is_stopping = True
+        self.task_set.spawn(self.membership.leave())
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self.settings.grace_s
         margin_ms = EXIT_MARGIN_MS + RESPONSE_MARGIN_MS
--- a/poplarloft/daemon/serving/store/store_relay.py
+++ b/poplarloft/daemon/serving/store/store_relay.py
@@ -9,25 +9,17 @@
 
 from poplarloft.coordination import retries
 from poplarloft.coordination import serving
-from poplarloft.daemon.serving.fleet import feed_link
 from poplarloft.daemon.serving.store import path_watches
-from poplarloft.daemon import tasks
 from poplarloft.platform import sealing
 from poplarloft.platform import store as platform_store
-from poplarloft.protocol import errors
 from poplarloft.protocol import http
-from poplarloft.protocol import lot_records
 from poplarloft.protocol import numbers
-from poplarloft.protocol import serving_messages
 from poplarloft import state
 from poplarloft.transport import http_client
 from poplarloft.transport import http_server
 
 __all__ = ["CallRelay", "RelayedStore"]
 
-LIST_INTERVAL_MS = 20_000
-FIRST_LIST_DELAY_MS = 3_000  # all daemons of a fleet have started by then
-REGISTER_RETRY_MS = 1_000
 MAX_WAIT_MS = 11_000
 RESPONSE_MARGIN_MS = 100  # the response must reach the waiting peer in time
 WAIT_HEADER = "poplarloft-wait-ms"
@@ -52,6 +44,11 @@
         Address of the store.
     path_selector : serving.AccessPathSelector
         Chooses the access paths of each call.
+
+    Attributes
+    ----------
+    on_reached : callable
+        Told the name of each peer that has relayed a call.
     """
 
     def __init__(
@@ -66,6 +63,7 @@
         self.stores_by_path = {serving.DIRECT: self.direct}
         self.watches = path_watches.PathWatches()
         self.answered = asyncio.Event()
+        self.on_reached: abc.Callable[[str], None] = lambda peer: None
 
     async def wait_until_available(self, timeout_ms: float) -> None:
         """Wait until the store answers any call, at most `timeout_ms`."""
@@ -199,6 +197,8 @@
     def _on_path_success(self, path: str) -> None:
         self.path_selector.on_answer(path)
         self.answered.set()
+        if path != serving.DIRECT:
+            self.on_reached(path)
 
     def _on_no_answer(self, path: str) -> None:
         self.path_selector.on_no_answer(path)
@@ -214,46 +214,31 @@
 
 
 class CallRelay:
-    """Relays peers' calls to the store, and keeps the list of peers.
+    """Relays peers' calls to the store.
 
     Parameters
     ----------
     client : http_client.HttpClient
         Connections to the store.
     store : RelayedStore
-        Stores the addresses of all daemons.
-    name : str
-        Name of this daemon.
-    issues_permits : bool
-        Whether this daemon offers to issue permits.
+        The store.
     limits : http_server.ServerLimits
         Limits on the peers.
 
     Attributes
     ----------
-    listeners : list of callable
-        Called after the peers were listed.
-    peers_address : state.Address or None
-        Address at which this daemon gets messages, if it does.
+    relayed_calls : int
+        Number of calls that peers have made.
     """
 
     def __init__(
         self,
         client: http_client.HttpClient,
         store: RelayedStore,
-        name: str,
-        issues_permits: bool,
         limits: http_server.ServerLimits,
     ) -> None:
         self.client = client
         self.store = store
-        self.name = name
-        self.issues_permits = issues_permits
-        self.peers_address: state.Address | None = None
-        self.feed: feed_link.FeedLink | None = None
-        self.members: dict[str, state.PeerRecord] = {}
-        self.listing = asyncio.Lock()
-        self.listeners: list[abc.Callable[[], None]] = []
         self.relayed_calls = 0
         self.server = http_server.HttpServer(
             self.handle,
@@ -262,12 +247,9 @@
             cancel_on_disconnect=True,
         )
 
-    async def start(
-        self, listen: state.Address, task_set: tasks.TaskSet
-    ) -> None:
-        """Start listening for peers, and register and list them."""
-        listen_address = await self.server.start(listen)
-        task_set.supervise(lambda: self._follow_peers(listen_address))
+    async def start(self, listen: state.Address) -> state.Address:
+        """Start listening for peers; return the address."""
+        return await self.server.start(listen)
 
     async def stop(self) -> None:
         """Abort the calls in flight; their senders use other paths."""
@@ -304,81 +286,6 @@
                     return http.HttpResponse(SERVICE_UNAVAILABLE)
         return http.HttpResponse(GATEWAY_TIMEOUT)
 
-    async def _follow_peers(self, listen_address: state.Address) -> None:
-        """Write this daemon's address once, then list all periodically."""
-        feed = None if self.feed is None else self.feed.reader.address
-        put = state.Put(
-            lot_records.member_key(self.name),
-            serving_messages.encode_member(
-                state.PeerRecord(
-                    listen_address,
-                    feed,
-                    self.peers_address,
-                    self.issues_permits,
-                )
-            ),
-        )
-        while True:
-            answer = await self.store.write([], [put])
-            if answer.status is state.WriteStatus.APPLIED:
-                break
-            await asyncio.sleep(REGISTER_RETRY_MS / MS_PER_S)
-        await asyncio.sleep(FIRST_LIST_DELAY_MS / MS_PER_S)
-        while True:
-            await self._list_peers()
-            await asyncio.sleep(LIST_INTERVAL_MS / MS_PER_S)
-
-    async def list_peers_once(self) -> None:
-        """List the peers now if they have not been listed yet."""
-        async with self.listing:
-            if not self.members:
-                await self._list_peers()
-
-    async def _list_peers(self) -> None:
-        members = await self.read_members()
-        if members is not None:
-            self._apply_members(members)
-
-    async def read_members(self) -> dict[str, state.PeerRecord] | None:
-        """Return all daemons that have registered, None if not readable."""
-        listed = await platform_store.list_all(
-            self.store, lot_records.MEMBERS_PREFIX, allow_stale=True
-        )
-        match listed:
-            case result.Success(entries):
-                return _decode_members(entries)
-        return None
-
-    def _apply_members(self, members: dict[str, state.PeerRecord]) -> None:
-        self.members = members
-        if self.feed is not None:
-            self.feed.update_members(members)
-        self.store.update_peers(
-            {
-                name: member.relay
-                for name, member in members.items()
-                if name != self.name
-            }
-        )
-        for listener in self.listeners:
-            listener()
-
-
-def _decode_members(
-    entries: list[state.Entry],
-) -> dict[str, state.PeerRecord]:
-    """Return the daemons by name, without those that are malformed."""
-    members = {}
-    for entry in entries:
-        name = entry.key.removeprefix(lot_records.MEMBERS_PREFIX)
-        try:
-            members[name] = serving_messages.decode_member(entry.value)
-        except errors.ProtocolError as error:
-            eliot.log_message(
-                "entry-unreadable", key=entry.key, error=str(error)
-            )
-    return members
-
 
 def _wait_ms(request: http.HttpRequest) -> int:
     """Return how long the calling peer waits for the response."""
--- a/poplarloft/daemon/serving/streams/stream_link.py
+++ b/poplarloft/daemon/serving/streams/stream_link.py
@@ -1,6 +1,7 @@
 """Tells other instances which software versions began streams."""
 
 from collections import abc
+import dataclasses
 
 from poplarloft.coordination import routing
 from poplarloft.coordination import serving
@@ -13,9 +14,21 @@
 
 KEEPERS = 2  # instances that remember a stream
 MAX_ASKED = 3  # one more, as they may have changed since
+MAX_TOLD = 6  # as many may have ended at once, and are listed for a while
+# An instance is in the store's list once it has started, and the list that
+# was read may be some seconds old.
+MAX_UNLISTED_MS = 10_000
 Members = abc.Mapping[str, state.PeerRecord]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Started:
+    """An instance that said that it has started, and when."""
+
+    address: state.Address
+    at_ms: int
+
+
 class StreamLink:
     """Remembers streams of this instance and of others.
 
@@ -55,7 +68,7 @@
         self.reports = serving.StreamReports(clock)
         self.report_timer = tasks.WakeTimer(self._send_reports)
         self.reports_due_at_ms: int | None = None
-        self.started: dict[str, state.Address] = {}  # not listed yet
+        self.started: dict[str, _Started] = {}  # not listed yet
         peers.on(state.StreamNotice, self._on_notice)
         peers.on(state.StreamReceipt, self._on_receipt)
         peers.on(state.StreamRecall, self._on_recall)
@@ -72,12 +85,16 @@
                 self.peers.send_reliably(member.peers, recall)
 
     def on_listed(self) -> None:
-        """Use the addresses of instances that have been listed."""
+        """Use the addresses of instances that have been listed.
+
+        One that started a while ago and is not among them has ended.
+        """
         listed = self.members()
+        oldest_ms = self.table.clock.now_ms() - MAX_UNLISTED_MS
         self.started = {
-            name: address
-            for name, address in self.started.items()
-            if name not in listed
+            name: started
+            for name, started in self.started.items()
+            if name not in listed and started.at_ms > oldest_ms
         }
 
     def record(self, key: str, sampler: state.Sampler) -> None:
@@ -100,7 +117,9 @@
             if row.peers is not None and name != self.name
         }
         offering = {name for name in addresses if members[name].issues_permits}
-        addresses |= self.started
+        addresses |= {
+            name: started.address for name, started in self.started.items()
+        }
         offering |= self.started.keys()
         ranked = routing.rendezvous_rank(key, list(offering or addresses))
         return [addresses[name] for name in ranked[:count]]
@@ -121,7 +140,7 @@
         by_address: dict[state.Address, list[state.StreamRecord]] = {}
         for due in self.reports.take_due():
             # Those that were told before may have ended.
-            count = MAX_ASKED if due.attempts else KEEPERS
+            count = min(KEEPERS + due.attempts, MAX_TOLD)
             addresses = self.keepers(due.record.key, count)
             for address in addresses or [self.peers.address]:
                 by_address.setdefault(address, []).append(due.record)
@@ -151,7 +170,8 @@
                 self.peers.send_reliably(address, state.StreamReceipt(ticket))
 
     def _on_recall(self, recall: state.StreamRecall) -> None:
-        self.started[recall.name] = recall.address
+        now_ms = self.table.clock.now_ms()
+        self.started[recall.name] = _Started(recall.address, now_ms)
         self.reports.repeat_all()
         self._schedule_reports(self.reports.next_due_in_ms())
 
--- a/poplarloft/state/feeds.py
+++ b/poplarloft/state/feeds.py
@@ -32,12 +32,16 @@
     issues_permits : bool
         Whether the daemon offers to schedule the requests to upstreams
         that have named a limit.
+    settles_at_ms : int
+        Unix time in milliseconds from which it may issue permits before
+        those that were there earlier; by then all others have listed it.
     """
 
     relay: identity.Address
     feed: identity.Address | None = None
     peers: identity.Address | None = None
     issues_permits: bool = False
+    settles_at_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/serving_streams.py
+++ b/tests/serving_streams.py
@@ -3,7 +3,8 @@
 import asyncio
 import itertools
 
-from poplarloft.daemon.serving.store import store_relay
+from poplarloft.coordination.serving.membership import roster
+from poplarloft.daemon.serving.fleet import member_registry
 from poplarloft import state
 from poplarloft.transport import http_client
 from tests import serving_fleet
@@ -16,8 +17,8 @@
 
 async def start_fleet(monkeypatch, entries=4, bulks=2):
     """Start daemons that list each other often."""
-    monkeypatch.setattr(store_relay, "FIRST_LIST_DELAY_MS", 300)
-    monkeypatch.setattr(store_relay, "LIST_INTERVAL_MS", 1_000)
+    monkeypatch.setattr(member_registry, "FIRST_LIST_DELAY_MS", 300)
+    monkeypatch.setattr(roster, "LIST_INTERVAL_MS", 1_000)
     made = serving_fleet.Fleet(services=4, engines=4)
     made.uses_change_feed = True
     made.has_members = True
@@ -34,7 +35,7 @@
 async def know_each_other(fleet):
     daemons = (*fleet.entries, *fleet.bulks)
     await serving_fleet.eventually(
-        lambda: all(len(d.relay.members) == len(daemons) for d in daemons)
+        lambda: all(len(d.membership.members) == len(daemons) for d in daemons)
     )
 
 
--- a/tests/test_serving_failover.py
+++ b/tests/test_serving_failover.py
@@ -22,12 +22,10 @@
     made = serving_fleet.Fleet()
     await made.start(entries=2, bulks=3)
     for daemon in (*made.entries, *made.bulks):
-        await daemon.relay.start(
-            state.Address("127.0.0.1", 0), daemon.task_set
-        )
+        await daemon.join_members(state.Address("127.0.0.1", 0))
     await asyncio.sleep(0.3)
     for daemon in (*made.entries, *made.bulks):
-        await daemon.relay._list_peers()
+        await daemon.membership._list()
     for engine in made.engines:
         engine.event_ms = EVENT_MS
     yield made
--- a/tests/test_serving_feed.py
+++ b/tests/test_serving_feed.py
@@ -25,12 +25,10 @@
     )
     await made.start(entries=5)
     for daemon in (*made.entries, *made.bulks):
-        await daemon.relay.start(
-            state.Address("127.0.0.1", 0), daemon.task_set
-        )
+        await daemon.join_members(state.Address("127.0.0.1", 0))
     await asyncio.sleep(0.3)
     for daemon in made.entries:
-        await daemon.relay._list_peers()
+        await daemon.membership._list()
     await asyncio.sleep(SETTLED_S)
     yield made
     await made.stop()
--- a/tests/test_serving_hints.py
+++ b/tests/test_serving_hints.py
@@ -19,12 +19,10 @@
     made.uses_change_feed = True
     await made.start(entries=2)
     for daemon in (*made.entries, *made.bulks):
-        await daemon.relay.start(
-            state.Address("127.0.0.1", 0), daemon.task_set
-        )
+        await daemon.join_members(state.Address("127.0.0.1", 0))
     await asyncio.sleep(0.3)
     for daemon in (*made.entries, *made.bulks):
-        await daemon.relay._list_peers()
+        await daemon.membership._list()
     for daemon in made.entries:
         await serving_fleet.eventually(daemon.leader_location.address)
     yield made
--- a/tests/test_serving_leaving.py
+++ b/tests/test_serving_leaving.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from poplarloft.daemon.serving.store import store_relay
+from poplarloft.coordination.serving.membership import roster
+from poplarloft.daemon.serving.fleet import member_registry
 from tests import serving_fleet
 
 LEAVING = (("Server-Leaving", "1"),)
@@ -15,8 +16,8 @@
 
 @pytest.fixture
 async def fleet(monkeypatch):
-    monkeypatch.setattr(store_relay, "FIRST_LIST_DELAY_MS", 300)
-    monkeypatch.setattr(store_relay, "LIST_INTERVAL_MS", 1_000)
+    monkeypatch.setattr(member_registry, "FIRST_LIST_DELAY_MS", 300)
+    monkeypatch.setattr(roster, "LIST_INTERVAL_MS", 1_000)
     made = serving_fleet.Fleet(services=4, engines=3)
     made.uses_change_feed = True
     made.has_members = True
@@ -24,7 +25,7 @@
     await made.start(entries=3, bulks=2)
     await serving_fleet.eventually(
         lambda: all(
-            len(daemon.relay.members) == 5
+            len(daemon.membership.members) == 5
             for daemon in (*made.entries, *made.bulks)
         )
     )
--- a/tests/test_serving_poison.py
+++ b/tests/test_serving_poison.py
@@ -9,8 +9,9 @@
 import pytest
 
 from poplarloft import coordination
+from poplarloft.coordination.serving.membership import roster
+from poplarloft.daemon.serving.fleet import member_registry
 from poplarloft.daemon.serving.fleet import peer_link
-from poplarloft.daemon.serving.store import store_relay
 from tests import serving_fleet
 
 pytestmark = pytest.mark.alone
@@ -24,8 +25,8 @@
 
 @pytest.fixture
 async def fleet(monkeypatch):
-    monkeypatch.setattr(store_relay, "FIRST_LIST_DELAY_MS", 300)
-    monkeypatch.setattr(store_relay, "LIST_INTERVAL_MS", 1_000)
+    monkeypatch.setattr(member_registry, "FIRST_LIST_DELAY_MS", 300)
+    monkeypatch.setattr(roster, "LIST_INTERVAL_MS", 1_000)
     made = serving_fleet.Fleet(services=6)
     made.uses_change_feed = True
     made.has_members = True
@@ -42,7 +43,7 @@
 async def know_each_other(fleet):
     daemons = (*fleet.entries, *fleet.bulks)
     await serving_fleet.eventually(
-        lambda: all(len(d.relay.members) == len(daemons) for d in daemons)
+        lambda: all(len(d.membership.members) == len(daemons) for d in daemons)
     )
 
 
--- a/tests/test_serving_store_paths.py
+++ b/tests/test_serving_store_paths.py
@@ -23,12 +23,10 @@
 async def list_peers_now(fleet):
     """Let all daemons list their peers without waiting for the timer."""
     for daemon in (*fleet.entries, *fleet.bulks):
-        await daemon.relay.start(
-            state.Address("127.0.0.1", 0), daemon.task_set
-        )
+        await daemon.join_members(state.Address("127.0.0.1", 0))
     await asyncio.sleep(0.2)
     for daemon in (*fleet.entries, *fleet.bulks):
-        await daemon.relay._list_peers()
+        await daemon.membership._list()
 
 
 async def test_daemon_refused_by_the_store_accepts_and_reads_lots(fleet):
