Issue permits by one's own place, once settled

Cause: the share of an issuer followed what its asker took it for, by the asker's list. For up to 20 s after a join some asked the new first issuer and others the one before, and both scheduled nine tenths of the rate.

Now an issuer decides by its own place in its own list, whoever asks, and says so if it has none; the asker goes on to the next then. A member that has come anew ranks behind the others for 25 s, until all have listed it, by a time in its entry; one that was missed by nobody keeps its place. Whoever takes a place over pauses for the 2 s for which the one before may have scheduled. An issuer that stood still for longer than between two renewals issues nothing until its lease is renewed. There are three issuers, with 0.9, 0.2 and 0.1 of the rate (two with 0.9 and 0.3 before), so that two that died together leave one. One that doesn't answer has the members listed soon.

Tests: the model of permits had two issuers and a flag, it has three places now, with the same bound, limits, freezes and restarts; the test that all agree on two issuers asks for three.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -18,6 +18,7 @@
 from poplarloft.coordination.serving.membership import Tenure
 from poplarloft.coordination.serving.requests import allowed_services
 from poplarloft.coordination.serving.requests import Balancer
+from poplarloft.coordination.serving.requests import FIRST_PLACE
 from poplarloft.coordination.serving.requests import FullUpstreams
 from poplarloft.coordination.serving.requests import KnownLimit
 from poplarloft.coordination.serving.requests import LeastExpectedTime
@@ -27,6 +28,8 @@
 from poplarloft.coordination.serving.requests import Permit
 from poplarloft.coordination.serving.requests import PermitIssuer
 from poplarloft.coordination.serving.requests import PermitNeed
+from poplarloft.coordination.serving.requests import Place
+from poplarloft.coordination.serving.requests import place_of
 from poplarloft.coordination.serving.requests import rank_issuers
 from poplarloft.coordination.serving.requests import rank_services
 from poplarloft.coordination.serving.requests import RunVerdict
@@ -79,6 +82,7 @@
     "EngineId",
     "EngineView",
     "EventOrderError",
+    "FIRST_PLACE",
     "FailoverDetector",
     "FeedReader",
     "Follows",
@@ -102,6 +106,7 @@
     "Permit",
     "PermitIssuer",
     "PermitNeed",
+    "Place",
     "Planner",
     "PrefixHistory",
     "REPORT_DELAY_MS",
@@ -126,6 +131,7 @@
     "allowed_services",
     "held_bytes",
     "notice_recipients",
+    "place_of",
     "rank_issuers",
     "rank_services",
     "rank_witnesses",
--- a/poplarloft/coordination/serving/requests/__init__.py
+++ b/poplarloft/coordination/serving/requests/__init__.py
@@ -12,10 +12,13 @@
 from poplarloft.coordination.serving.requests.lost_runs import LostRuns
 from poplarloft.coordination.serving.requests.lost_runs import RunVerdict
 from poplarloft.coordination.serving.requests.lost_runs import VerdictKind
+from poplarloft.coordination.serving.requests.permits import FIRST_PLACE
 from poplarloft.coordination.serving.requests.permits import notice_recipients
 from poplarloft.coordination.serving.requests.permits import Permit
 from poplarloft.coordination.serving.requests.permits import PermitIssuer
 from poplarloft.coordination.serving.requests.permits import PermitNeed
+from poplarloft.coordination.serving.requests.permits import Place
+from poplarloft.coordination.serving.requests.permits import place_of
 from poplarloft.coordination.serving.requests.permits import rank_issuers
 from poplarloft.coordination.serving.requests.registry import SamplerRegistry
 from poplarloft.coordination.serving.requests.service_shares import (
@@ -30,6 +33,7 @@
 
 __all__ = [
     "Balancer",
+    "FIRST_PLACE",
     "FullUpstreams",
     "KnownLimit",
     "LeastExpectedTime",
@@ -38,11 +42,13 @@
     "Permit",
     "PermitIssuer",
     "PermitNeed",
+    "Place",
     "RunVerdict",
     "SamplerRegistry",
     "VerdictKind",
     "allowed_services",
     "notice_recipients",
+    "place_of",
     "rank_issuers",
     "rank_services",
     "spread_point",
--- a/poplarloft/coordination/serving/requests/permits.py
+++ b/poplarloft/coordination/serving/requests/permits.py
@@ -1,11 +1,12 @@
 """Permits for requests to upstreams that have named a limit.
 
-The issuer of an upstream schedules one request after another at a little
-under the rate that the upstream has named, and gives each asker the time of
-the next one. Every instance computes the issuers of an upstream from the
-list of members: the first one, and a deputy that is asked where the first
-one does not answer. Both together stay within the bound, so it also holds
-while some instances reach the one and some the other.
+An issuer of an upstream schedules one request after another at its share of
+the rate that the upstream has named, and gives each asker the time of the
+next one. Every instance computes the issuers of an upstream from the list
+of members: the first one, and others that are asked in turn where it does
+not answer. Each decides by its own place in the list, so that the bound
+holds also while askers have other lists, and while some reach the one and
+some the other.
 """
 
 from collections import abc
@@ -17,22 +18,23 @@
 from poplarloft import state
 
 __all__ = [
+    "FIRST_PLACE",
     "Permit",
     "PermitIssuer",
     "PermitNeed",
+    "Place",
     "notice_recipients",
+    "place_of",
     "rank_issuers",
 ]
 
 MS_PER_S = 1_000
-# Shares of the rate. Their sum leaves room for requests that arrive later
-# than they were scheduled.
-FIRST_SHARE = 0.9
-DEPUTY_SHARE = 0.3
+# Shares of the rate, by the place of an issuer. Their sum leaves room for
+# requests that arrive later than they were scheduled.
+ISSUER_SHARES = (0.9, 0.2, 0.1)
 MIN_RATE_PER_S = 0.05  # shows whether a very low limit still holds
 MAX_BACKLOG_MS = 2_000  # for the most urgent priority
 PRIORITIES = 10
-ISSUER_COUNT = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,26 @@
     wait_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Place of an instance among the issuers of an upstream.
+
+    Parameters
+    ----------
+    number : int
+        0 for the first issuer.
+    pause_ms : int
+        Time for which it schedules nothing, since whoever had the place
+        until just now may have scheduled as far ahead.
+    """
+
+    number: int
+    pause_ms: int = 0
+
+
+FIRST_PLACE = Place(0)
+
+
 @dataclasses.dataclass(slots=True)
 class _Schedule:
     """When the next request to an upstream may be sent, at which rate."""
@@ -113,10 +135,10 @@
 
     def __init__(self, clock: state.Clock) -> None:
         self.clock = clock
-        self.schedules: dict[tuple[engine_view.EngineId, bool], _Schedule] = {}
+        self.schedules: dict[engine_view.EngineId, _Schedule] = {}
 
     def decide(
-        self, request: state.PermitRequest, rate_per_s: float
+        self, request: state.PermitRequest, rate_per_s: float, place: "Place"
     ) -> Permit:
         """Schedule a request, unless it would have to wait too long.
 
@@ -129,17 +151,19 @@
             What is asked for.
         rate_per_s : float
             Requests per second that the upstream takes from all instances.
+        place : Place
+            Place of this instance among the issuers.
         """
         now_ms = self.clock.now_ms()
-        interval_ms = _interval_ms(rate_per_s, request.is_deputy)
-        key = request.report.engine_id, request.is_deputy
-        schedule = self.schedules.get(key)
+        interval_ms = _interval_ms(rate_per_s, place.number)
+        engine_id = request.report.engine_id
+        schedule = self.schedules.get(engine_id)
         if schedule is None:
             schedule = _Schedule(now_ms + interval_ms, rate_per_s)
-            self.schedules[key] = schedule
-        elif schedule.rate_per_s != rate_per_s:
+            self.schedules[engine_id] = schedule
+        if schedule.rate_per_s != rate_per_s:
             schedule.change_rate(rate_per_s, now_ms)
-        at_ms = max(float(now_ms), schedule.next_at_ms)
+        at_ms = max(float(now_ms + place.pause_ms), schedule.next_at_ms)
         wait_ms = int(at_ms - now_ms)
         if wait_ms > longest_wait_ms(request.priority, request.max_wait_ms):
             return Permit(False, wait_ms)
@@ -150,41 +174,83 @@
         self, engine_ids: abc.Container[engine_view.EngineId]
     ) -> None:
         """Forget the schedules of upstreams that are no longer announced."""
-        gone = [key for key in self.schedules if key[0] not in engine_ids]
-        for key in gone:
-            del self.schedules[key]
+        for engine_id in list(self.schedules):
+            if engine_id not in engine_ids:
+                del self.schedules[engine_id]
 
 
 def rank_issuers(
     engine_id: engine_view.EngineId,
     members: abc.Mapping[str, state.PeerRecord],
+    now_ms: int,
 ) -> list[str]:
-    """Return the issuers of an upstream, first and deputy, by rendezvous.
+    """Return the issuers of an upstream, the first one first.
+
+    They are chosen by rendezvous among those that offer it and have settled.
+    Where none has, those come first that settle first: whoever came later
+    has seen them, while they may not have seen it.
 
     Parameters
     ----------
     engine_id : tuple of (str, int)
         The run of the upstream.
     members : mapping of str to state.PeerRecord
-        All instances. Those that offer to issue permits are preferred.
+        All instances.
+    now_ms : int
+        Unix time.
     """
     reachable = [
         name for name, row in members.items() if row.peers is not None
     ]
     offering = [name for name in reachable if members[name].issues_permits]
+    candidates = offering or reachable
+    settled = [n for n in candidates if members[n].settles_at_ms <= now_ms]
     upstream, born_ms = engine_id
 
     def weight(name: str) -> int:
         return xxhash.xxh64_intdigest(f"{name}/{upstream}/{born_ms}".encode())
 
-    ranked = sorted(offering or reachable, key=weight, reverse=True)
-    return ranked[:ISSUER_COUNT]
+    ranked = sorted(settled or candidates, key=weight, reverse=True)
+    if not settled:
+        ranked.sort(key=lambda name: members[name].settles_at_ms)
+    return ranked[: len(ISSUER_SHARES)]
+
+
+def place_of(
+    name: str,
+    engine_id: engine_view.EngineId,
+    members: abc.Mapping[str, state.PeerRecord],
+    now_ms: int,
+) -> Place | None:
+    """Return the place of an instance among the issuers, if it is one.
+
+    Parameters are those of `rank_issuers`.
+    """
+    ranked = rank_issuers(engine_id, members, now_ms)
+    if name not in ranked:
+        return None
+    settled_at_ms = max(
+        (
+            row.settles_at_ms
+            for row in members.values()
+            if row.settles_at_ms <= now_ms
+        ),
+        default=0,
+    )
+    pause_ms = settled_at_ms + MAX_BACKLOG_MS - now_ms
+    if pause_ms <= 0:
+        return Place(ranked.index(name))
+    before = rank_issuers(engine_id, members, settled_at_ms - 1)
+    if before[: ranked.index(name) + 1] == ranked[: ranked.index(name) + 1]:
+        pause_ms = 0
+    return Place(ranked.index(name), pause_ms)
 
 
 def notice_recipients(
     name: str,
     engine_id: engine_view.EngineId,
     members: abc.Mapping[str, state.PeerRecord],
+    now_ms: int,
 ) -> list[state.Address]:
     """Return whom an instance tells of news of an upstream.
 
@@ -199,8 +265,10 @@
         The run of the upstream.
     members : mapping of str to state.PeerRecord
         All instances.
+    now_ms : int
+        Unix time.
     """
-    issuers = rank_issuers(engine_id, members)
+    issuers = rank_issuers(engine_id, members, now_ms)
     names: abc.Iterable[str] = issuers
     if issuers and issuers[0] == name:
         names = members
@@ -211,9 +279,9 @@
     ]
 
 
-def _interval_ms(rate_per_s: float, is_deputy: bool) -> float:
+def _interval_ms(rate_per_s: float, place: int) -> float:
     """Return the time between two requests that one issuer schedules."""
-    share = DEPUTY_SHARE if is_deputy else FIRST_SHARE
+    share = ISSUER_SHARES[place]
     return MS_PER_S / (share * max(rate_per_s, MIN_RATE_PER_S))
 
 
--- a/poplarloft/coordination/serving/requests/tests/test_permits.py
+++ b/poplarloft/coordination/serving/requests/tests/test_permits.py
@@ -1,6 +1,7 @@
 """Permits for requests to limited upstreams, and the bound that they keep."""
 
 import collections
+import functools
 
 import hypothesis
 from hypothesis import stateful
@@ -17,13 +18,15 @@
 TOLERANCE = 1.5
 BURST = 5
 RATES = strategies.sampled_from([0.0, 0.3, 1.0, 1.6, 7.0, 40.0])
+FIRST = serving.FIRST_PLACE
+PLACES = (0, 1, 2)
 MAX_LATENESS_MS = 900  # lateness of a permit, and the time to connect
 
 
-def need(rate_per_s, is_deputy=False, priority=0, max_wait_ms=10_000):
+def need(rate_per_s, priority=0, max_wait_ms=10_000):
     report = state.LimitReport(*SERVER, rate_per_s, 0, "a")
     return state.PermitRequest(
-        1, ADDRESS, report, is_deputy, priority, max_wait_ms
+        1, ADDRESS, report, False, priority, max_wait_ms
     )
 
 
@@ -38,13 +41,13 @@
 
 
 def test_a_new_issuer_waits_for_what_an_earlier_one_may_have_sent(issuer):
-    permit = issuer.decide(need(1.0, max_wait_ms=0), 1.0)
+    permit = issuer.decide(need(1.0, max_wait_ms=0), 1.0, FIRST)
     assert not permit.is_granted
     assert 1_000 < permit.wait_ms < 1_200
 
 
 def test_requests_are_spaced_by_the_limit(issuer):
-    waits = [issuer.decide(need(10.0), 10.0).wait_ms for _ in range(4)]
+    waits = [issuer.decide(need(10.0), 10.0, FIRST).wait_ms for _ in range(4)]
     gaps = [b - a for a, b in zip(waits, waits[1:], strict=False)]
     assert all(100 < gap < 120 for gap in gaps)
 
@@ -55,59 +58,86 @@
     for _ in range(60):
         for priority in (0, 9):
             request = need(10.0, priority=priority)
-            if issuer.decide(request, 10.0).is_granted:
+            if issuer.decide(request, 10.0, FIRST).is_granted:
                 granted[priority] += 1
     assert granted[0] > 5 * granted[9]
 
 
 def test_a_request_that_would_be_late_is_denied_at_once(issuer):
-    assert issuer.decide(need(1.0), 1.0).is_granted
-    permit = issuer.decide(need(1.0, max_wait_ms=500), 1.0)
+    assert issuer.decide(need(1.0), 1.0, FIRST).is_granted
+    permit = issuer.decide(need(1.0, max_wait_ms=500), 1.0, FIRST)
     assert not permit.is_granted
     assert permit.wait_ms > 2_000
 
 
 @pytest.mark.parametrize("rate_per_s", [0.0, 0.05, 1e6])
 def test_extreme_limits_are_scheduled(issuer, clock, rate_per_s):
-    issuer.decide(need(rate_per_s), rate_per_s)
+    issuer.decide(need(rate_per_s), rate_per_s, FIRST)
     clock.advance(60_000)
-    assert issuer.decide(need(rate_per_s), rate_per_s).is_granted
+    assert issuer.decide(need(rate_per_s), rate_per_s, FIRST).is_granted
 
 
 def test_a_higher_limit_does_not_wait_for_the_interval_of_the_lower(
     issuer, clock
 ):
-    issuer.decide(need(0.05), 0.05)
+    issuer.decide(need(0.05), 0.05, FIRST)
     clock.advance(2_000)
-    permit = issuer.decide(need(10.0), 10.0)
+    permit = issuer.decide(need(10.0), 10.0, FIRST)
     assert permit.is_granted
     assert permit.wait_ms <= 2_000
 
 
-def record(issues_permits):
-    return state.PeerRecord(ADDRESS, ADDRESS, ADDRESS, issues_permits)
+def record(issues_permits, settles_at_ms=0):
+    return state.PeerRecord(
+        ADDRESS, ADDRESS, ADDRESS, issues_permits, settles_at_ms
+    )
 
 
 def test_all_members_agree_on_issuers_that_offer_it():
-    members = {f"m{n}": record(n < 3) for n in range(8)}
-    ranked = serving.rank_issuers(SERVER, members)
-    assert len(ranked) == 2
-    assert set(ranked) <= {"m0", "m1", "m2"}
+    members = {f"m{n}": record(n < 4) for n in range(8)}
+    ranked = serving.rank_issuers(SERVER, members, 0)
+    assert len(ranked) == 3
+    assert set(ranked) <= {"m0", "m1", "m2", "m3"}
     backwards = dict(reversed(members.items()))
-    assert serving.rank_issuers(SERVER, backwards) == ranked
+    assert serving.rank_issuers(SERVER, backwards, 0) == ranked
+
+
+def test_an_issuer_takes_its_place_once_it_has_settled():
+    members = {f"m{n}": record(True) for n in range(8)}
+    (first, *others) = serving.rank_issuers(SERVER, members, 0)
+    members[first] = record(True, settles_at_ms=10_000)
+    assert serving.rank_issuers(SERVER, members, 9_999)[:2] == others
+    assert serving.rank_issuers(SERVER, members, 10_000)[0] == first
+    new = {f"m{n}": record(True, 10_000) for n in range(8)}
+    assert serving.rank_issuers(SERVER, new, 0)[0] == first
+
+
+def test_a_new_first_issuer_waits_for_what_is_scheduled(issuer):
+    """Guards against two issuers at the full rate, one after the other."""
+    members = {f"m{n}": record(True) for n in range(8)}
+    (first, second, _) = serving.rank_issuers(SERVER, members, 0)
+    members[first] = record(True, settles_at_ms=50_000)
+    place = functools.partial(serving.place_of, engine_id=SERVER)
+    assert place(first, members=members, now_ms=49_999) is None
+    assert place(second, members=members, now_ms=49_999) == FIRST
+    assert place(first, members=members, now_ms=50_500).pause_ms == 1_500
+    permit = issuer.decide(need(100.0), 100.0, serving.Place(0, 1_500))
+    assert permit.wait_ms == 1_500
+    assert place(first, members=members, now_ms=52_000) == FIRST
+    assert place(second, members=members, now_ms=52_000).number == 1
 
 
 def test_issuers_are_spread_over_upstreams():
     members = {f"m{n}": record(True) for n in range(8)}
     first = collections.Counter(
-        serving.rank_issuers((f"s{n}", 1), members)[0] for n in range(800)
+        serving.rank_issuers((f"s{n}", 1), members, 0)[0] for n in range(800)
     )
     assert len(first) == 8
     assert max(first.values()) < 200
 
 
 class Fleet(stateful.RuleBasedStateMachine):
-    """Any number of instances ask the first issuer or the deputy.
+    """Any number of instances ask the issuers, each one that it reaches.
 
     Which one an instance reaches changes at random, as do freezes and
     restarts of the issuers. Permits are used up to `MAX_LATENESS_MS` late.
@@ -124,29 +154,30 @@
         self.rate_per_s = rate_per_s
         self.instances = instances
         self.issuers = {
-            is_deputy: serving.PermitIssuer(self.clock)
-            for is_deputy in (False, True)
+            place: serving.PermitIssuer(self.clock) for place in PLACES
         }
         # without sharing, each instance schedules for itself
         self.own = [serving.PermitIssuer(self.clock) for _ in range(instances)]
-        self.reaches_first = [True] * instances
-        self.frozen_until_ms = {False: 0, True: 0}
+        self.reaches = [0] * instances
+        self.frozen_until_ms = dict.fromkeys(PLACES, 0)
         self.sent_at_ms = []
 
-    @stateful.rule(which=strategies.integers(0, 39))
-    def lose_first_issuer(self, which):
-        index = which % self.instances
-        self.reaches_first[index] = not self.reaches_first[index]
+    @stateful.rule(
+        which=strategies.integers(0, 39), place=strategies.sampled_from(PLACES)
+    )
+    def reach_another_issuer(self, which, place):
+        self.reaches[which % self.instances] = place
 
-    @stateful.rule(is_deputy=strategies.booleans())
-    def restart_issuer(self, is_deputy):
-        self.issuers[is_deputy] = serving.PermitIssuer(self.clock)
+    @stateful.rule(place=strategies.sampled_from(PLACES))
+    def restart_issuer(self, place):
+        self.issuers[place] = serving.PermitIssuer(self.clock)
 
     @stateful.rule(
-        is_deputy=strategies.booleans(), freeze_ms=strategies.integers(1, 3000)
+        place=strategies.sampled_from(PLACES),
+        freeze_ms=strategies.integers(1, 3000),
     )
-    def freeze_issuer(self, is_deputy, freeze_ms):
-        self.frozen_until_ms[is_deputy] = self.clock.now_ms() + freeze_ms
+    def freeze_issuer(self, place, freeze_ms):
+        self.frozen_until_ms[place] = self.clock.now_ms() + freeze_ms
 
     @stateful.rule(
         step_ms=strategies.integers(1, 400),
@@ -163,14 +194,16 @@
 
     def _send_one(self, index, priority, lateness_ms):
         now_ms = self.clock.now_ms()
-        is_deputy = not self.reaches_first[index]
-        if now_ms < self.frozen_until_ms[is_deputy]:
+        place = self.reaches[index]
+        if now_ms < self.frozen_until_ms[place]:
             return
-        issuer = self.issuers[is_deputy]
+        issuer = self.issuers[place]
         if not self.shares_permits:
-            issuer, is_deputy = self.own[index], False
+            issuer, place = self.own[index], 0
         permit = issuer.decide(
-            need(self.rate_per_s, is_deputy, priority), self.rate_per_s
+            need(self.rate_per_s, priority),
+            self.rate_per_s,
+            serving.Place(place),
         )
         if permit.is_granted:
             self.sent_at_ms.append(now_ms + permit.wait_ms + lateness_ms)
--- a/poplarloft/daemon/serving/base.py
+++ b/poplarloft/daemon/serving/base.py
@@ -84,7 +84,7 @@
         self.limits = upstream_limits.UpstreamLimits(
             settings.name,
             self.peers,
-            lambda: self.membership.members,
+            self.membership,
             None not in (settings.relay_listen, settings.peer_listen),
         )
         self.streams = stream_link.StreamLink(
@@ -123,7 +123,7 @@
         leaving = leaving_link.LeavingLink(
             self.settings.name,
             self.peers,
-            lambda: self.membership.members,
+            self.membership,
             sampler_view,
         )
         notes = response_notes.ResponseNotes(self.limits, leaving)
--- a/poplarloft/daemon/serving/fleet/leaving_link.py
+++ b/poplarloft/daemon/serving/fleet/leaving_link.py
@@ -3,8 +3,8 @@
 import eliot
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving.fleet import member_registry
 from poplarloft.daemon.serving.fleet import peer_link
-from poplarloft.daemon.serving.fleet import permit_link
 from poplarloft.daemon.serving.store import view
 from poplarloft import state
 
@@ -20,8 +20,8 @@
         Name of this instance.
     peers : peer_link.PeerLink
         Messages from and to other instances.
-    members : callable
-        Return the instances by name, empty until they are known.
+    membership : member_registry.Membership
+        Knows the other instances.
     sampler_view : view.SamplerView
         The upstreams of this instance.
     """
@@ -30,12 +30,12 @@
         self,
         name: str,
         peers: peer_link.PeerLink,
-        members: permit_link.Members,
+        membership: member_registry.Membership,
         sampler_view: view.SamplerView,
     ) -> None:
         self.name = name
         self.peers = peers
-        self.members = members
+        self.membership = membership
         self.sampler_view = sampler_view
         peers.on(state.LeavingNotice, self._on_notice)
 
@@ -64,7 +64,10 @@
         if not self.sampler_view.on_leaving(notice.engine_id):
             return
         addresses = serving.notice_recipients(
-            self.name, notice.engine_id, self.members()
+            self.name,
+            notice.engine_id,
+            self.membership.members,
+            self.membership.now_ms(),
         )
         eliot.log_message(
             "upstream-leaving",
--- a/poplarloft/daemon/serving/fleet/permit_link.py
+++ b/poplarloft/daemon/serving/fleet/permit_link.py
@@ -1,22 +1,21 @@
 """Exchanges limits and permits with other instances."""
 
 import asyncio
-from collections import abc
 import itertools
 
 import eliot
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving.fleet import member_registry
 from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft import state
 
-__all__ = ["Members", "PermitLink"]
+__all__ = ["PermitLink"]
 
 ANSWER_TIMEOUT_MS = 400
 SUSPECT_MS = 2_000  # an issuer that did not answer is not asked meanwhile
 NOTICE_DELAY_MS = 100  # changes of that time share a message
 MS_PER_S = 1_000
-Members = abc.Callable[[], abc.Mapping[str, state.PeerRecord]]
 
 
 class PermitLink:
@@ -30,8 +29,8 @@
         Name of this instance.
     peers : peer_link.PeerLink
         Messages from and to other instances.
-    members : callable
-        Return the instances by name, empty until they are known.
+    membership : member_registry.Membership
+        Knows the other instances.
     table : serving.LimitTable
         The known limits, which messages update.
     """
@@ -41,13 +40,13 @@
         clock: state.Clock,
         name: str,
         peers: peer_link.PeerLink,
-        members: Members,
+        membership: member_registry.Membership,
         table: serving.LimitTable,
     ) -> None:
         self.clock = clock
         self.name = name
         self.peers = peers
-        self.members = members
+        self.membership = membership
         self.table = table
         self.issuer = serving.PermitIssuer(clock)
         self.tickets = itertools.count(1)
@@ -65,9 +64,7 @@
         known = self.table.report_of(engine_id)
         if known is None:
             return
-        shared_with = serving.notice_recipients(
-            self.name, engine_id, self.members()
-        )
+        shared_with = self._recipients(engine_id)
         eliot.log_message(
             "limit-ended" if known.rate_per_s is None else "limit-named",
             upstream=known.upstream,
@@ -90,12 +87,14 @@
         self, engine_id: serving.EngineId, need: serving.PermitNeed
     ) -> serving.Permit | None:
         """Return the decision of the first issuer that answers, if any."""
-        members = self.members()
-        ranked = serving.rank_issuers(engine_id, members)
-        for rank, issuer in enumerate(ranked):
-            is_deputy = rank > 0
+        await self.membership.list_once()
+        members = self.membership.members
+        for place, issuer in enumerate(self._ranked(engine_id)):
             if issuer == self.name:
-                return self.decide_here(engine_id, need, is_deputy)
+                own_place = self._own_place(engine_id)
+                if own_place is not None:
+                    return self.decide_here(engine_id, need, own_place)
+                continue
             if self.clock.now_ms() < self.suspected_until_ms.get(issuer, 0):
                 continue
             address = members[issuer].peers
@@ -103,30 +102,61 @@
             if address is None or report is None:
                 return None
             answer = await self._exchange(
-                address,
-                self._request(report, need, is_deputy),
+                address, self._request(report, need, place > 0)
             )
-            if answer is not None:
+            if answer is None:
+                self._suspect(issuer, engine_id)
+                continue
+            self.membership.on_reached(issuer)
+            if answer.is_issuer:
                 return serving.Permit(answer.is_granted, answer.wait_ms)
-            until_ms = self.clock.now_ms() + SUSPECT_MS
-            self.suspected_until_ms[issuer] = until_ms
-            eliot.log_message(
-                "permit-issuer-lost", issuer=issuer, upstream=engine_id[0]
-            )
         return None
 
     def decide_here(
         self,
         engine_id: serving.EngineId,
         need: serving.PermitNeed,
-        is_deputy: bool,
+        place: serving.Place,
     ) -> serving.Permit:
         """Return this instance's own decision as an issuer."""
         report = self.table.report_of(engine_id)
         if report is None or report.rate_per_s is None:
             return serving.Permit(True, 0)
-        request = self._request(report, need, is_deputy)
-        return self.issuer.decide(request, report.rate_per_s)
+        request = self._request(report, need, place.number > 0)
+        return self.issuer.decide(request, report.rate_per_s, place)
+
+    def _suspect(self, issuer: str, engine_id: serving.EngineId) -> None:
+        """Ask an issuer that did not answer no more for a while."""
+        until_ms = self.clock.now_ms() + SUSPECT_MS
+        self.suspected_until_ms[issuer] = until_ms
+        self.membership.on_silent(issuer)
+        eliot.log_message(
+            "permit-issuer-lost", issuer=issuer, upstream=engine_id[0]
+        )
+
+    def _ranked(self, engine_id: serving.EngineId) -> list[str]:
+        return serving.rank_issuers(
+            engine_id, self.membership.members, self.membership.now_ms()
+        )
+
+    def _own_place(self, engine_id: serving.EngineId) -> serving.Place | None:
+        """Return this instance's place among the issuers, if it is one."""
+        if not self.membership.may_issue:
+            return None
+        return serving.place_of(
+            self.name,
+            engine_id,
+            self.membership.members,
+            self.membership.now_ms(),
+        )
+
+    def _recipients(self, engine_id: serving.EngineId) -> list[state.Address]:
+        return serving.notice_recipients(
+            self.name,
+            engine_id,
+            self.membership.members,
+            self.membership.now_ms(),
+        )
 
     def _request(
         self,
@@ -164,15 +194,19 @@
         """Answer another instance's request for a permit."""
         self._apply(request.report)
         known = self.table.report_of(request.report.engine_id)
+        place = self._own_place(request.report.engine_id)
         if known is None or known.rate_per_s is None:
             permit = serving.Permit(True, 0)
+        elif place is None:
+            permit = serving.Permit(False, 0)
         else:
-            permit = self.issuer.decide(request, known.rate_per_s)
+            permit = self.issuer.decide(request, known.rate_per_s, place)
         answer = state.PermitAnswer(
             request.ticket,
             permit.is_granted,
             permit.wait_ms,
             known or request.report,
+            permit.is_granted or place is not None,
         )
         self.peers.send_reliably(request.address, answer)
 
@@ -195,9 +229,7 @@
             known = self.table.report_of(engine_id)
             if known is None:
                 continue
-            for address in serving.notice_recipients(
-                self.name, engine_id, self.members()
-            ):
+            for address in self._recipients(engine_id):
                 reports.setdefault(address, []).append(known)
         self.changed.clear()
         for address, known_reports in reports.items():
--- a/poplarloft/daemon/serving/fleet/tests/test_upstream_limits.py
+++ b/poplarloft/daemon/serving/fleet/tests/test_upstream_limits.py
@@ -16,17 +16,27 @@
 NEED = serving.PermitNeed("r", 0, 10)
 
 
+class Alone:
+    """Knows no other instances."""
+
+    members = {}
+    may_issue = False
+
+    def now_ms(self):
+        return 0
+
+
 class CountingLimits(upstream_limits.UpstreamLimits):
     """Counts the questions to the issuer."""
 
     def __init__(self):
-        super().__init__("a", peer_link.PeerLink(), dict, has_peers=False)
+        super().__init__("a", peer_link.PeerLink(), Alone(), has_peers=False)
         self.asked = []
         decide = self.link.decide_here
 
-        def counted(engine_id, need, is_deputy):
+        def counted(engine_id, need, place):
             self.asked.append(engine_id)
-            return decide(engine_id, need, is_deputy)
+            return decide(engine_id, need, place)
 
         self.link.decide_here = counted
 
--- a/poplarloft/daemon/serving/fleet/upstream_limits.py
+++ b/poplarloft/daemon/serving/fleet/upstream_limits.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from poplarloft.coordination import serving
+from poplarloft.daemon.serving.fleet import member_registry
 from poplarloft.daemon.serving.fleet import peer_link
 from poplarloft.daemon.serving.fleet import permit_link
 from poplarloft import state
@@ -44,8 +45,8 @@
         Name of this instance.
     peers : peer_link.PeerLink
         Messages from and to other instances.
-    members : callable
-        Return the instances by name, empty until they are known.
+    membership : member_registry.Membership
+        Knows the other instances.
     has_peers : bool
         Whether there are other instances. If not, this one schedules its
         requests by itself.
@@ -55,7 +56,7 @@
         self,
         name: str,
         peers: peer_link.PeerLink,
-        members: permit_link.Members,
+        membership: member_registry.Membership,
         has_peers: bool,
     ) -> None:
         self.name = name
@@ -63,7 +64,7 @@
         self.clock = state.BootClock()
         self.table = serving.LimitTable(self.clock, name)
         self.link = permit_link.PermitLink(
-            self.clock, name, peers, members, self.table
+            self.clock, name, peers, membership, self.table
         )
         self.trial_at_ms: dict[serving.EngineId, int] = {}
         self.denials: dict[serving.EngineId, _Denial] = {}
@@ -228,7 +229,9 @@
         if self.has_peers:
             permit = await self.link.ask(engine_id, need)
         else:
-            permit = self.link.decide_here(engine_id, need, False)
+            permit = self.link.decide_here(
+                engine_id, need, serving.FIRST_PLACE
+            )
         if permit is None:
             return serving.Permit(False, UNKNOWN_WAIT_MS)
         if not permit.is_granted:
--- a/poplarloft/daemon/serving/rollouts/tests/test_rewards.py
+++ b/poplarloft/daemon/serving/rollouts/tests/test_rewards.py
@@ -24,6 +24,16 @@
 CALL = state.RewardCall("reward", "h", "/p/1", b"")
 
 
+class Alone:
+    """Knows no other instances."""
+
+    members = {}
+    may_issue = False
+
+    def now_ms(self):
+        return 0
+
+
 @pytest.fixture
 def caller():
     clock = state.MonotonicClock()
@@ -31,7 +41,7 @@
     samplers.registry.announce(BUSY)
     samplers.registry.announce(LIMITED)
     limits = upstream_limits.UpstreamLimits(
-        "a", peer_link.PeerLink(), dict, has_peers=False
+        "a", peer_link.PeerLink(), Alone(), has_peers=False
     )
     limits.on_response(LIMITED, state.NamedLimit(0.0), "r")
     balancer = serving.LeastExpectedTime(
--- a/poplarloft/state/upstream_limits.py
+++ b/poplarloft/state/upstream_limits.py
@@ -134,8 +134,8 @@
     report : LimitReport
         The limit as the sender knows it.
     is_deputy : bool
-        Whether the issuer is asked because the upstream's first issuer
-        does not answer.
+        Whether the issuer is asked because an earlier one does not answer.
+        It decides by its own place all the same.
     priority : int
         Scheduling priority; 0 is the most urgent.
     max_wait_ms : int
@@ -163,9 +163,13 @@
         again is worthwhile.
     report : LimitReport
         The limit as the issuer knows it.
+    is_issuer : bool
+        Whether the instance takes itself for an issuer of the upstream. If
+        not, another one is to be asked.
     """
 
     ticket: int
     is_granted: bool
     wait_ms: int
     report: LimitReport
+    is_issuer: bool = True
