Give askers whom no issuer answers turns of their own

Now time is divided into turns of 2.5 s (longer for limits under 0.4 a second), which the members take in the order of their names; in its own turn an asker may send one request. What all together send is what the shares of the issuers leave of the bound: three requests in 4.9 s. An instance that knows no members yet lists them before it gives up.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -25,6 +25,7 @@
 from poplarloft.coordination.serving.requests import LimitTable
 from poplarloft.coordination.serving.requests import LostRuns
 from poplarloft.coordination.serving.requests import notice_recipients
+from poplarloft.coordination.serving.requests import OwnTurns
 from poplarloft.coordination.serving.requests import Permit
 from poplarloft.coordination.serving.requests import PermitIssuer
 from poplarloft.coordination.serving.requests import PermitNeed
@@ -103,6 +104,7 @@
     "OrderLock",
     "OrderRules",
     "OutputTooLargeError",
+    "OwnTurns",
     "Permit",
     "PermitIssuer",
     "PermitNeed",
--- a/poplarloft/coordination/serving/requests/__init__.py
+++ b/poplarloft/coordination/serving/requests/__init__.py
@@ -12,6 +12,7 @@
 from poplarloft.coordination.serving.requests.lost_runs import LostRuns
 from poplarloft.coordination.serving.requests.lost_runs import RunVerdict
 from poplarloft.coordination.serving.requests.lost_runs import VerdictKind
+from poplarloft.coordination.serving.requests.own_turns import OwnTurns
 from poplarloft.coordination.serving.requests.permits import FIRST_PLACE
 from poplarloft.coordination.serving.requests.permits import notice_recipients
 from poplarloft.coordination.serving.requests.permits import Permit
@@ -39,6 +40,7 @@
     "LeastExpectedTime",
     "LimitTable",
     "LostRuns",
+    "OwnTurns",
     "Permit",
     "PermitIssuer",
     "PermitNeed",
--- a/poplarloft/coordination/serving/requests/permits.py
+++ b/poplarloft/coordination/serving/requests/permits.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "FIRST_PLACE",
+    "MIN_RATE_PER_S",
     "Permit",
     "PermitIssuer",
     "PermitNeed",
--- a/poplarloft/coordination/serving/requests/tests/test_permits.py
+++ b/poplarloft/coordination/serving/requests/tests/test_permits.py
@@ -136,6 +136,40 @@
     assert max(first.values()) < 200
 
 
+@hypothesis.given(
+    rate_per_s=RATES, names=strategies.integers(1, 30), data=strategies.data()
+)
+def test_own_turns_are_taken_by_one_at_a_time(rate_per_s, names, data):
+    """Guards against many that take the same moment for their own."""
+    clock = state.ManualClock(1_000_000)
+    members = [f"m{n}" for n in range(names)]
+    turns = {name: serving.OwnTurns(clock, name) for name in members}
+    wish = serving.PermitNeed("r", 0, 10_000)
+    sent_at_ms = []
+    for _ in range(60):
+        name = data.draw(strategies.sampled_from(members))
+        permit = turns[name].decide(SERVER, wish, rate_per_s, members)
+        if permit.is_granted:
+            sent_at_ms.append(clock.now_ms() + permit.wait_ms)
+        clock.advance(data.draw(strategies.integers(0, 2_000)))
+    window_ms = WINDOW_MS + MAX_LATENESS_MS
+    for at_ms in sent_at_ms:
+        later = [t for t in sent_at_ms if at_ms <= t < at_ms + window_ms]
+        assert len(later) <= 3
+
+
+def test_an_own_turn_comes_for_each_in_time():
+    clock = state.ManualClock(1_000_000)
+    members = [f"m{n}" for n in range(10)]
+    turns = serving.OwnTurns(clock, "m3")
+    wish = serving.PermitNeed("r", 0, 10_000)
+    for _ in range(10 * 25):
+        if turns.decide(SERVER, wish, 5.0, members).is_granted:
+            return
+        clock.advance(100)
+    raise AssertionError("no turn in 25 s")
+
+
 class Fleet(stateful.RuleBasedStateMachine):
     """Any number of instances ask the issuers, each one that it reaches.
 
--- a/poplarloft/daemon/serving/fleet/permit_link.py
+++ b/poplarloft/daemon/serving/fleet/permit_link.py
@@ -49,6 +49,7 @@
         self.membership = membership
         self.table = table
         self.issuer = serving.PermitIssuer(clock)
+        self.own_turns = serving.OwnTurns(membership, name)
         self.tickets = itertools.count(1)
         self.pending: dict[int, asyncio.Future[state.PermitAnswer]] = {}
         self.suspected_until_ms: dict[str, int] = {}
@@ -86,7 +87,11 @@
     async def ask(
         self, engine_id: serving.EngineId, need: serving.PermitNeed
     ) -> serving.Permit | None:
-        """Return the decision of the first issuer that answers, if any."""
+        """Return the decision of the first issuer that answers.
+
+        Where none does, this instance takes a turn of its own; None if it
+        does not know who else may.
+        """
         await self.membership.list_once()
         members = self.membership.members
         for place, issuer in enumerate(self._ranked(engine_id)):
@@ -110,7 +115,7 @@
             self.membership.on_reached(issuer)
             if answer.is_issuer:
                 return serving.Permit(answer.is_granted, answer.wait_ms)
-        return None
+        return self._take_turn(engine_id, need)
 
     def decide_here(
         self,
@@ -125,6 +130,24 @@
         request = self._request(report, need, place.number > 0)
         return self.issuer.decide(request, report.rate_per_s, place)
 
+    def _take_turn(
+        self, engine_id: serving.EngineId, need: serving.PermitNeed
+    ) -> serving.Permit | None:
+        rate_per_s = self.table.rate_of(engine_id)
+        members = self.membership.members
+        if rate_per_s is None or not members:
+            return None
+        permit = self.own_turns.decide(engine_id, need, rate_per_s, members)
+        if permit.is_granted:
+            eliot.log_message(
+                "permit-own-turn",
+                request=need.request_id,
+                upstream=engine_id[0],
+                wait_ms=permit.wait_ms,
+                members=len(members),
+            )
+        return permit
+
     def _suspect(self, issuer: str, engine_id: serving.EngineId) -> None:
         """Ask an issuer that did not answer no more for a while."""
         until_ms = self.clock.now_ms() + SUSPECT_MS
--- a/poplarloft/daemon/serving/fleet/upstream_limits.py
+++ b/poplarloft/daemon/serving/fleet/upstream_limits.py
@@ -98,6 +98,7 @@
                 "limit-ended", upstream=name, born_ms=born_ms, by="gone"
             )
         self.link.issuer.keep_only(engine_ids)
+        self.link.own_turns.keep_only(engine_ids)
         for engine_id in set(self.trial_at_ms) - engine_ids:
             del self.trial_at_ms[engine_id]
         for engine_id in set(self.denials) - engine_ids:
