Write up members that were gone; rank issuers once

Found while reading the change again: a member that was dropped while an asker waited for another one's answer raised KeyError in it, as the list changed in place; it is replaced now.

--- a/poplarloft/coordination/serving/__init__.py
+++ b/poplarloft/coordination/serving/__init__.py
@@ -20,6 +20,7 @@
 from poplarloft.coordination.serving.requests import Balancer
 from poplarloft.coordination.serving.requests import FIRST_PLACE
 from poplarloft.coordination.serving.requests import FullUpstreams
+from poplarloft.coordination.serving.requests import IssuerRanks
 from poplarloft.coordination.serving.requests import KnownLimit
 from poplarloft.coordination.serving.requests import LeastExpectedTime
 from poplarloft.coordination.serving.requests import LimitTable
@@ -88,6 +89,7 @@
     "FeedReader",
     "Follows",
     "INITIAL_EVENT_INTERVAL_MS",
+    "IssuerRanks",
     "ItemOutput",
     "FullUpstreams",
     "KnownLimit",
--- a/poplarloft/coordination/serving/membership/roster.py
+++ b/poplarloft/coordination/serving/membership/roster.py
@@ -29,7 +29,8 @@
     Attributes
     ----------
     members : dict of str to state.PeerRecord
-        The members that are taken to live, by name.
+        The members that are taken to live, by name. It is replaced, not
+        changed, so that whoever goes through it may wait meanwhile.
     """
 
     def __init__(self, clock: state.Clock) -> None:
@@ -61,10 +62,14 @@
         }
         gone = [name for name in missing if self._is_gone(name, now_ms)]
         for name in gone:
-            del self.members[name]
             del self.missing_since_ms[name]
             self.reached_at_ms.pop(name, None)
-        self.members.update(listed)
+        kept = {
+            name: record
+            for name, record in self.members.items()
+            if name not in gone
+        }
+        self.members = {**kept, **listed}
         return gone
 
     def on_unreadable(self) -> None:
@@ -79,7 +84,7 @@
     def on_registered(self, name: str, record: state.PeerRecord) -> None:
         """Note this instance's own entry, which may be a new one."""
         if name in self.members:
-            self.members[name] = record
+            self.members = {**self.members, name: record}
 
     def on_reached(self, name: str) -> None:
         """Note that an instance has just answered."""
--- a/poplarloft/coordination/serving/membership/tests/test_members_model.py
+++ b/poplarloft/coordination/serving/membership/tests/test_members_model.py
@@ -86,6 +86,7 @@
         self.tenure = serving.Tenure(self.clock)
         self.roster = serving.Roster(self.clock)
         self.issuer = serving.PermitIssuer(self.clock)
+        self.ranks = serving.IssuerRanks()
         self.turns = serving.OwnTurns(self, name)
         self.record = state.PeerRecord(ADDRESS, None, ADDRESS, issues)
         self.frozen_until_ms = 0
@@ -153,12 +154,12 @@
     def place(self):
         if not self.tenure.is_current:
             return None
-        return serving.place_of(
+        return self.ranks.place_of(
             self.name, ENGINE, self.roster.members, self.now_ms()
         )
 
     def ranked(self):
-        return serving.rank_issuers(ENGINE, self.roster.members, self.now_ms())
+        return self.ranks.rank(ENGINE, self.roster.members, self.now_ms())
 
     def ask(self, rate_per_s):
         """Return the permit that this instance gets for a request."""
--- a/poplarloft/coordination/serving/requests/__init__.py
+++ b/poplarloft/coordination/serving/requests/__init__.py
@@ -14,6 +14,7 @@
 from poplarloft.coordination.serving.requests.lost_runs import VerdictKind
 from poplarloft.coordination.serving.requests.own_turns import OwnTurns
 from poplarloft.coordination.serving.requests.permits import FIRST_PLACE
+from poplarloft.coordination.serving.requests.permits import IssuerRanks
 from poplarloft.coordination.serving.requests.permits import notice_recipients
 from poplarloft.coordination.serving.requests.permits import Permit
 from poplarloft.coordination.serving.requests.permits import PermitIssuer
@@ -36,6 +37,7 @@
     "Balancer",
     "FIRST_PLACE",
     "FullUpstreams",
+    "IssuerRanks",
     "KnownLimit",
     "LeastExpectedTime",
     "LimitTable",
--- a/poplarloft/coordination/serving/requests/permits.py
+++ b/poplarloft/coordination/serving/requests/permits.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "FIRST_PLACE",
+    "IssuerRanks",
     "MIN_RATE_PER_S",
     "Permit",
     "PermitIssuer",
@@ -36,6 +37,7 @@
 MIN_RATE_PER_S = 0.05  # shows whether a very low limit still holds
 MAX_BACKLOG_MS = 2_000  # for the most urgent priority
 PRIORITIES = 10
+MAX_RANKED_MS = 60_000  # upstreams that are gone are forgotten then
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -247,6 +249,64 @@
     return Place(ranked.index(name), pause_ms)
 
 
+class IssuerRanks:
+    """The issuers of upstreams, ranked once for each list of members.
+
+    The list is taken to be another one only if it is another object, and
+    ranks hold until the next member settles.
+    """
+
+    def __init__(self) -> None:
+        self.members: abc.Mapping[str, state.PeerRecord] = {}
+        self.from_ms = 0
+        self.until_ms = 0
+        self.ranked: dict[engine_view.EngineId, list[str]] = {}
+
+    def rank(
+        self,
+        engine_id: engine_view.EngineId,
+        members: abc.Mapping[str, state.PeerRecord],
+        now_ms: int,
+    ) -> list[str]:
+        """Return what `rank_issuers` does."""
+        is_current = self.from_ms <= now_ms < self.until_ms
+        if members is not self.members or not is_current:
+            self._begin(members, now_ms)
+        ranked = self.ranked.get(engine_id)
+        if ranked is None:
+            ranked = rank_issuers(engine_id, members, now_ms)
+            self.ranked[engine_id] = ranked
+        return ranked
+
+    def place_of(
+        self,
+        name: str,
+        engine_id: engine_view.EngineId,
+        members: abc.Mapping[str, state.PeerRecord],
+        now_ms: int,
+    ) -> Place | None:
+        """Return what the function `place_of` does."""
+        ranked = self.rank(engine_id, members, now_ms)
+        if now_ms < self.from_ms + MAX_BACKLOG_MS:
+            return place_of(name, engine_id, members, now_ms)
+        return Place(ranked.index(name)) if name in ranked else None
+
+    def _begin(
+        self, members: abc.Mapping[str, state.PeerRecord], now_ms: int
+    ) -> None:
+        self.members = members
+        self.from_ms = now_ms
+        self.until_ms = min(
+            (
+                row.settles_at_ms
+                for row in members.values()
+                if row.settles_at_ms > now_ms
+            ),
+            default=now_ms + MAX_RANKED_MS,
+        )
+        self.ranked = {}
+
+
 def notice_recipients(
     name: str,
     engine_id: engine_view.EngineId,
--- a/poplarloft/daemon/serving/fleet/permit_link.py
+++ b/poplarloft/daemon/serving/fleet/permit_link.py
@@ -49,6 +49,7 @@
         self.membership = membership
         self.table = table
         self.issuer = serving.PermitIssuer(clock)
+        self.ranks = serving.IssuerRanks()
         self.own_turns = serving.OwnTurns(membership, name)
         self.tickets = itertools.count(1)
         self.pending: dict[int, asyncio.Future[state.PermitAnswer]] = {}
@@ -158,7 +159,7 @@
         )
 
     def _ranked(self, engine_id: serving.EngineId) -> list[str]:
-        return serving.rank_issuers(
+        return self.ranks.rank(
             engine_id, self.membership.members, self.membership.now_ms()
         )
 
@@ -166,7 +167,7 @@
         """Return this instance's place among the issuers, if it is one."""
         if not self.membership.may_issue:
             return None
-        return serving.place_of(
+        return self.ranks.place_of(
             self.name,
             engine_id,
             self.membership.members,
