Take no place before all of one's start are listed

Four causes, all about a list that is whole only a moment later, as all leases had ended in an outage:

- entries whose first list after it had no issuer took that for a fleet without any, and issued: now only after 30 s without one;
- instances that had started in the outage listed before the others had registered, and were first by that list: now nobody takes a place or a turn before a current listing 2.5 s after it registered;
- turns by the order of names fell together where lists differed: now by rendezvous, so that few are taken twice;
- a daemon that stood still between two looks for a missing member took the second for a confirmation: now looks over 10 s apart don't count.

--- a/poplarloft/coordination/serving/membership/roster.py
+++ b/poplarloft/coordination/serving/membership/roster.py
@@ -14,6 +14,10 @@
 
 LIST_INTERVAL_MS = 20_000
 CONFIRM_DELAY_MS = 3_000  # those that lapsed in an outage are back by then
+MAX_LOOK_GAP_MS = 10_000  # between two that follow each other
+# Those that came at the same time as this instance are listed by then, but
+# before the first listing after a start.
+RELIST_DELAY_MS = 2_500
 MIN_INTERVAL_MS = 5_000  # between listings that somebody asked for
 REACHED_MS = 5_000  # for which an instance that answered is taken to live
 
@@ -40,6 +44,7 @@
         self.reached_at_ms: dict[str, int] = {}
         self.listed_at_ms: int | None = None
         self.has_failed = False
+        self.relist_at_ms: int | None = None
 
     @property
     def needs_current_listing(self) -> bool:
@@ -47,15 +52,28 @@
 
         The first one must have all that came before this instance.
         """
-        return self.listed_at_ms is None or bool(self.missing_since_ms)
+        return (
+            self.listed_at_ms is None
+            or self.relist_at_ms is not None
+            or bool(self.missing_since_ms)
+        )
+
+    @property
+    def has_all_of_start(self) -> bool:
+        """Whether it has those that came at the same time as this one."""
+        return bool(self.members) and self.relist_at_ms is None
 
     def on_listing(
         self, listed: abc.Mapping[str, state.PeerRecord]
     ) -> list[str]:
         """Follow a listing; return the names of those that are gone."""
         now_ms = self.clock.now_ms()
+        if self._has_stood_still(now_ms):
+            self.missing_since_ms.clear()
         self.listed_at_ms = now_ms
         self.has_failed = False
+        if self.relist_at_ms is not None and now_ms >= self.relist_at_ms:
+            self.relist_at_ms = None
         missing = [name for name in self.members if name not in listed]
         self.missing_since_ms = {
             name: self.missing_since_ms.get(name, now_ms) for name in missing
@@ -83,6 +101,7 @@
 
     def on_registered(self, name: str, record: state.PeerRecord) -> None:
         """Note this instance's own entry, which may be a new one."""
+        self.relist_at_ms = self.clock.now_ms() + RELIST_DELAY_MS
         if name in self.members:
             self.members = {**self.members, name: record}
 
@@ -106,7 +125,16 @@
             interval_ms = CONFIRM_DELAY_MS
         elif is_wanted or self.has_failed:
             interval_ms = MIN_INTERVAL_MS
-        return max(0, self.listed_at_ms + interval_ms - self.clock.now_ms())
+        due_ms = self.listed_at_ms + interval_ms
+        if self.relist_at_ms is not None and not self.has_failed:
+            due_ms = min(due_ms, self.relist_at_ms)
+        return max(0, due_ms - self.clock.now_ms())
+
+    def _has_stood_still(self, now_ms: int) -> bool:
+        """Return whether the store may have been away between two looks."""
+        if self.listed_at_ms is None:
+            return False
+        return now_ms - self.listed_at_ms > MAX_LOOK_GAP_MS
 
     def _is_gone(self, name: str, now_ms: int) -> bool:
         missing_ms = now_ms - self.missing_since_ms[name]
--- a/poplarloft/coordination/serving/membership/tests/test_members_model.py
+++ b/poplarloft/coordination/serving/membership/tests/test_members_model.py
@@ -151,8 +151,12 @@
             if name == self.name and self.tenure.is_listed:
                 self.tenure.on_lapsed()
 
+    @property
+    def may_issue(self):
+        return self.tenure.is_current and self.roster.has_all_of_start
+
     def place(self):
-        if not self.tenure.is_current:
+        if not self.may_issue:
             return None
         return self.ranks.place_of(
             self.name, ENGINE, self.roster.members, self.now_ms()
@@ -173,9 +177,9 @@
             place = issuer.place()
             if place is not None:
                 return issuer.issuer.decide(request, rate_per_s, place)
-        members = self.roster.members
-        if not members:
+        if not self.may_issue:
             return serving.Permit(False, 0)
+        members = self.roster.members
         return self.turns.decide(ENGINE, need, rate_per_s, members)
 
 
--- a/poplarloft/coordination/serving/requests/own_turns.py
+++ b/poplarloft/coordination/serving/requests/own_turns.py
@@ -1,13 +1,15 @@
 """Permits for an asker whom no issuer of an upstream answers.
 
-Time is divided into turns, which all instances that may ask take one after
-the other, in the order of their names. So each can send a request now and
-then without asking anyone, and all together send one a turn at most, in
-addition to what issuers schedule.
+Time is divided into turns. Whose turn it is, is chosen by rendezvous among
+all instances that may ask, so each can send a request now and then without
+asking anyone, and all together send one a turn, in addition to what issuers
+schedule. Where lists of members differ, few turns are taken twice.
 """
 
 from collections import abc
 
+import xxhash
+
 from poplarloft.coordination.serving.requests import permits
 from poplarloft.coordination.serving.rollouts import engine_view
 from poplarloft import state
@@ -60,16 +62,28 @@
         """
         limit_per_s = max(rate_per_s, permits.MIN_RATE_PER_S)
         turn_ms = max(TURN_MS, int(MS_PER_S / limit_per_s))
-        names = sorted({*members, self.name})
-        place = names.index(self.name)
         now_ms = self.wall_clock.now_ms()
-        first = max(now_ms // turn_ms, self.last_turn.get(engine_id, -1) + 1)
-        turn = first + (place - first) % len(names)
-        wait_ms = max(0, turn * turn_ms - now_ms)
-        if wait_ms > need.longest_wait_ms:
-            return permits.Permit(False, min(wait_ms, ASK_AGAIN_MS))
-        self.last_turn[engine_id] = turn
-        return permits.Permit(True, wait_ms)
+        turn = max(now_ms // turn_ms, self.last_turn.get(engine_id, -1) + 1)
+        while (wait_ms := turn * turn_ms - now_ms) <= need.longest_wait_ms:
+            if self._owns(engine_id, turn, members):
+                self.last_turn[engine_id] = turn
+                return permits.Permit(True, max(0, wait_ms))
+            turn += 1
+        return permits.Permit(False, ASK_AGAIN_MS)
+
+    def _owns(
+        self,
+        engine_id: engine_view.EngineId,
+        turn: int,
+        members: abc.Collection[str],
+    ) -> bool:
+        """Return whether a turn is this instance's."""
+
+        def weight(name: str) -> int:
+            key = f"{name}/{engine_id[0]}/{engine_id[1]}/{turn}"
+            return xxhash.xxh64_intdigest(key.encode())
+
+        return self.name == max({*members, self.name}, key=weight)
 
     def keep_only(
         self, engine_ids: abc.Container[engine_view.EngineId]
--- a/poplarloft/coordination/serving/requests/permits.py
+++ b/poplarloft/coordination/serving/requests/permits.py
@@ -37,6 +37,7 @@
 MIN_RATE_PER_S = 0.05  # shows whether a very low limit still holds
 MAX_BACKLOG_MS = 2_000  # for the most urgent priority
 PRIORITIES = 10
+MAX_UNOFFERED_MS = 30_000  # all members have been listed again by then
 MAX_RANKED_MS = 60_000  # upstreams that are gone are forgotten then
 
 
@@ -202,11 +203,7 @@
     now_ms : int
         Unix time.
     """
-    reachable = [
-        name for name, row in members.items() if row.peers is not None
-    ]
-    offering = [name for name in reachable if members[name].issues_permits]
-    candidates = offering or reachable
+    candidates = [name for name, row in members.items() if row.offers_permits]
     settled = [n for n in candidates if members[n].settles_at_ms <= now_ms]
     upstream, born_ms = engine_id
 
@@ -253,11 +250,15 @@
     """The issuers of upstreams, ranked once for each list of members.
 
     The list is taken to be another one only if it is another object, and
-    ranks hold until the next member settles.
+    ranks hold until the next member settles. Where nobody has offered to
+    issue permits for a while, all members do; not at once, as those that
+    offer it may be missing only from the first list after an outage.
     """
 
     def __init__(self) -> None:
         self.members: abc.Mapping[str, state.PeerRecord] = {}
+        self.issuing: abc.Mapping[str, state.PeerRecord] = {}
+        self.unoffered_since_ms: int | None = None
         self.from_ms = 0
         self.until_ms = 0
         self.ranked: dict[engine_view.EngineId, list[str]] = {}
@@ -274,7 +275,7 @@
             self._begin(members, now_ms)
         ranked = self.ranked.get(engine_id)
         if ranked is None:
-            ranked = rank_issuers(engine_id, members, now_ms)
+            ranked = rank_issuers(engine_id, self.issuing, now_ms)
             self.ranked[engine_id] = ranked
         return ranked
 
@@ -288,7 +289,7 @@
         """Return what the function `place_of` does."""
         ranked = self.rank(engine_id, members, now_ms)
         if now_ms < self.from_ms + MAX_BACKLOG_MS:
-            return place_of(name, engine_id, members, now_ms)
+            return place_of(name, engine_id, self.issuing, now_ms)
         return Place(ranked.index(name)) if name in ranked else None
 
     def _begin(
@@ -296,15 +297,30 @@
     ) -> None:
         self.members = members
         self.from_ms = now_ms
+        self.ranked = {}
+        self._choose_issuing(now_ms)
+        ends_ms = [row.settles_at_ms for row in members.values()]
+        if self.unoffered_since_ms is not None:
+            ends_ms.append(self.unoffered_since_ms + MAX_UNOFFERED_MS)
         self.until_ms = min(
-            (
-                row.settles_at_ms
-                for row in members.values()
-                if row.settles_at_ms > now_ms
-            ),
+            (end_ms for end_ms in ends_ms if end_ms > now_ms),
             default=now_ms + MAX_RANKED_MS,
         )
-        self.ranked = {}
+
+    def _choose_issuing(self, now_ms: int) -> None:
+        """Let all members issue permits if nobody offers it for a while."""
+        self.issuing = self.members
+        offers = any(row.offers_permits for row in self.members.values())
+        if offers or not self.members:
+            self.unoffered_since_ms = None
+            return
+        if self.unoffered_since_ms is None:
+            self.unoffered_since_ms = now_ms
+        if now_ms - self.unoffered_since_ms >= MAX_UNOFFERED_MS:
+            self.issuing = {
+                name: dataclasses.replace(row, issues_permits=True)
+                for name, row in self.members.items()
+            }
 
 
 def notice_recipients(
--- a/poplarloft/coordination/serving/requests/tests/test_permits.py
+++ b/poplarloft/coordination/serving/requests/tests/test_permits.py
@@ -127,6 +127,17 @@
     assert place(second, members=members, now_ms=52_000).number == 1
 
 
+def test_where_nobody_offers_permits_all_do_after_a_while():
+    """Guards against issuers by a list that is whole only a moment later."""
+    members = {f"m{n}": record(False) for n in range(4)}
+    ranks = serving.IssuerRanks()
+    assert ranks.rank(SERVER, members, 1_000) == []
+    assert ranks.place_of("m1", SERVER, members, 30_999) is None
+    assert len(ranks.rank(SERVER, members, 31_000)) == 3
+    some = {**members, "m9": record(True)}
+    assert ranks.rank(SERVER, some, 32_000) == ["m9"]
+
+
 def test_issuers_are_spread_over_upstreams():
     members = {f"m{n}": record(True) for n in range(8)}
     first = collections.Counter(
@@ -163,11 +174,11 @@
     members = [f"m{n}" for n in range(10)]
     turns = serving.OwnTurns(clock, "m3")
     wish = serving.PermitNeed("r", 0, 10_000)
-    for _ in range(10 * 25):
-        if turns.decide(SERVER, wish, 5.0, members).is_granted:
-            return
+    granted = 0
+    for _ in range(1_000 * 25):
+        granted += turns.decide(SERVER, wish, 5.0, members).is_granted
         clock.advance(100)
-    raise AssertionError("no turn in 25 s")
+    assert 60 <= granted <= 140  # a tenth of 1,000 turns
 
 
 class Fleet(stateful.RuleBasedStateMachine):
--- a/poplarloft/daemon/serving/fleet/member_registry.py
+++ b/poplarloft/daemon/serving/fleet/member_registry.py
@@ -99,7 +99,11 @@
     @property
     def may_issue(self) -> bool:
         """Whether this daemon may act as one that others rely on."""
-        return self.tenure.is_current and not self.is_retiring()
+        return (
+            self.tenure.is_current
+            and self.roster.has_all_of_start
+            and not self.is_retiring()
+        )
 
     def now_ms(self) -> int:
         """Return the Unix time in milliseconds, without steps."""
--- a/poplarloft/daemon/serving/fleet/permit_link.py
+++ b/poplarloft/daemon/serving/fleet/permit_link.py
@@ -91,7 +91,7 @@
         """Return the decision of the first issuer that answers.
 
         Where none does, this instance takes a turn of its own; None if it
-        does not know who else may.
+        may not know all who do.
         """
         await self.membership.list_once()
         members = self.membership.members
@@ -136,7 +136,7 @@
     ) -> serving.Permit | None:
         rate_per_s = self.table.rate_of(engine_id)
         members = self.membership.members
-        if rate_per_s is None or not members:
+        if rate_per_s is None or not self.membership.may_issue:
             return None
         permit = self.own_turns.decide(engine_id, need, rate_per_s, members)
         if permit.is_granted:
--- a/poplarloft/state/feeds.py
+++ b/poplarloft/state/feeds.py
@@ -43,6 +43,11 @@
     issues_permits: bool = False
     settles_at_ms: int = 0
 
+    @property
+    def offers_permits(self) -> bool:
+        """Whether it can be asked for permits."""
+        return self.issues_permits and self.peers is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedRequest:
--- a/poplarloft_soak/faults.py
+++ b/poplarloft_soak/faults.py
@@ -37,6 +37,8 @@
         # later series have their own, so that known seeds keep their faults
         self.limit_rng = random.Random(f"limits {seed}")
         self.leave_rng = random.Random(f"leaves {seed}")
+        self.replace_rng = random.Random(f"replacements {seed}")
+        self.replaced = 0
         self.injected: list[tuple[float, str]] = []
         self.kinds: dict[str, Fault] = {
             "daemon-killed": self._kill_daemon,
@@ -66,6 +68,7 @@
         await asyncio.gather(
             self._limit_upstreams(end_s),
             self._let_services_leave(end_s),
+            self._replace_store_machines(end_s),
             *(self._run_series(end_s) for _ in range(CONCURRENT_SERIES)),
         )
         self.heal()
@@ -73,6 +76,7 @@
     def heal(self) -> None:
         """End all faults that last; start daemons that do not run."""
         self.world.store.is_down = False
+        self.world.store.delay_ms = 0
         self.world.store.lost_writes = 0
         self.world.store.late_writes = 0
         for upstream in self.world.upstreams():
@@ -114,6 +118,40 @@
             await asyncio.sleep(self.leave_rng.uniform(3.0, 6.0))
             await self.world.restart(service, RESTART_DELAY_S)
 
+    async def _replace_store_machines(self, end_s: float) -> None:
+        """Replace bulk daemons, also all at once, beside a slow store."""
+        rng = self.replace_rng
+        while time.monotonic() < end_s:
+            await asyncio.sleep(rng.uniform(1.0, 5.0))
+            self.world.store.delay_ms = rng.choice([0, 0, 60, 200])
+            bulks = [d for d in self.world.daemons if d.role == "bulk"]
+            chosen = rng.sample(bulks, rng.randint(1, len(bulks)))
+            by_plan = rng.random() < 0.5
+            self.injected.append((time.monotonic(), "bulk-replaced"))
+            await asyncio.gather(
+                *(self._replace(daemon, by_plan) for daemon in chosen)
+            )
+            self.world.store.delay_ms = 0
+
+    async def _replace(
+        self, old: processes.DaemonProcess, by_plan: bool
+    ) -> None:
+        """Replace a daemon by one under another name, for good."""
+        self.replaced += 1
+        new = await self.world.add_daemon(f"bulk-r{self.replaced}", "bulk")
+        self.world.excuse_senders()
+        new.start()
+        if by_plan:
+            await self.world.retire(old.name)
+        self.world.daemons.remove(old)
+        old.send(signal.SIGTERM if by_plan else signal.SIGKILL)
+        for _ in range(80):
+            if not old.is_running:
+                break
+            await asyncio.sleep(0.1)
+        old.end()
+        self.world.excuse_senders()
+
     def _choose_daemon(self) -> processes.DaemonProcess:
         return self.rng.choice(self.world.daemons)
 
--- a/poplarloft_soak/world.py
+++ b/poplarloft_soak/world.py
@@ -20,6 +20,8 @@
 ENGINE_EVENT_MS = 12.0
 EXPIRY_DELAY_S = 1.0
 SENDER_SETTLING_S = 4.0
+RETIREMENT_CHECKS = 80
+RETIREMENT_CHECK_S = 0.05
 CRASH_MARKER = b"poison"
 VERSIONS = ("v1", "v2")
 
@@ -62,7 +64,7 @@
 
     async def start(self) -> None:
         """Start the stand-ins and links, then the daemons."""
-        store_address = await self.store.start()
+        self.store_address = await self.store.start()
         for upstream in (*self.engines, *self.services):
             await upstream.start()
             await self._start_link(upstream.name, upstream.address)
@@ -78,16 +80,31 @@
         await self.configure()
         for role, count in self.counts.items():
             for number in range(count):
-                name = f"{role}-{number}"
-                await self._start_link(name, store_address)
-                self.daemons.append(
-                    processes.DaemonProcess(
-                        name, role, self.links[name].address, self.folder
-                    )
-                )
+                await self.add_daemon(f"{role}-{number}", role)
         for daemon in self.daemons:
             daemon.start()
 
+    async def add_daemon(
+        self, name: str, role: str
+    ) -> processes.DaemonProcess:
+        """Return a new daemon, which is not started yet."""
+        await self._start_link(name, self.store_address)
+        daemon = processes.DaemonProcess(
+            name, role, self.links[name].address, self.folder
+        )
+        self.daemons.append(daemon)
+        return daemon
+
+    async def retire(self, name: str) -> None:
+        """Ask for the retirement of a daemon, and wait for its end."""
+        status = f"status/retire/{name}"
+        await self.store.put(f"op/retire/{name}", b'{"over_s": 9.0}')
+        for _ in range(RETIREMENT_CHECKS):
+            if status in self.store.entries:
+                break
+            await asyncio.sleep(RETIREMENT_CHECK_S)
+        await self.store.remove(f"op/retire/{name}")
+
     async def stop(self) -> None:
         """End all daemons, links and stand-ins."""
         for daemon in self.daemons:
