Hold what was asked for before for no more than that

A renewal that was under way when a daemon left the list put it back as listed in its own mind, so that it might have issued permits until it ended. And a listing that took long, asked for before the others of a start had registered, counted as one made after it.

--- a/poplarloft/coordination/serving/membership/roster.py
+++ b/poplarloft/coordination/serving/membership/roster.py
@@ -64,15 +64,27 @@
         return bool(self.members) and self.relist_at_ms is None
 
     def on_listing(
-        self, listed: abc.Mapping[str, state.PeerRecord]
+        self,
+        listed: abc.Mapping[str, state.PeerRecord],
+        asked_at_ms: int | None = None,
     ) -> list[str]:
-        """Follow a listing; return the names of those that are gone."""
+        """Follow a listing; return the names of those that are gone.
+
+        Parameters
+        ----------
+        listed : mapping of str to state.PeerRecord
+            All entries of the store.
+        asked_at_ms : int or None
+            Time at which the store was asked; None for just now.
+        """
         now_ms = self.clock.now_ms()
         if self._has_stood_still(now_ms):
             self.missing_since_ms.clear()
         self.listed_at_ms = now_ms
         self.has_failed = False
-        if self.relist_at_ms is not None and now_ms >= self.relist_at_ms:
+        if asked_at_ms is None:
+            asked_at_ms = now_ms
+        if self.relist_at_ms is not None and asked_at_ms >= self.relist_at_ms:
             self.relist_at_ms = None
         missing = [name for name in self.members if name not in listed]
         self.missing_since_ms = {
--- a/poplarloft/coordination/serving/membership/tenure.py
+++ b/poplarloft/coordination/serving/membership/tenure.py
@@ -63,7 +63,7 @@
 
     def on_done(self) -> None:
         """Note that the entry is in the store, and its lease renewed."""
-        self.is_listed = True
+        self.is_listed = not self.has_left
         self.is_proven = True
         self.has_failed = False
 
--- a/poplarloft/daemon/serving/fleet/member_registry.py
+++ b/poplarloft/daemon/serving/fleet/member_registry.py
@@ -178,11 +178,12 @@
         await asyncio.sleep(wait_ms / MS_PER_S)
 
     async def _list(self) -> None:
+        asked_at_ms = self.roster.clock.now_ms()
         listed = await self.read(not self.roster.needs_current_listing)
         if listed is None:
             self.roster.on_unreadable()
             return
-        gone = self.roster.on_listing(listed)
+        gone = self.roster.on_listing(listed, asked_at_ms)
         if gone:
             eliot.log_message(
                 "members-gone",
